Schema, decision library and network layer

Ruled out: CivetWeb's client for calls to endpoints. A trial showed that its mg_read fills the whole buffer before it returns, so a streamed chunk was not delivered in 30 s, and that its read timeout of 30 s can't be set. libcurl, its nearest kin, relays parts as they come; CivetWeb's client stays for the platform, peers and operators. Change: schema/ with generated code, leverwick/ (table reducer, sessions, claims, bills, limits, fair queue, endpoints, estimates, planner, guard, routing, membership, freshness), net/ (server, clients, JSON-RPC, settings, logs, metrics).

--- /dev/null
+++ b/leverwick/claims.h
@@ -0,0 +1,162 @@
+// Claims: a request that may not be repeated runs at most once, also when its
+// caller retries the key through another box or data centre.
+//
+// Each key has one owner (slots.h). The owner grants a claim only after every
+// copy of the slot has stored it: write all. A new owner, once the roster that
+// names it is in the log, seals: it reads the claims from one copy of the
+// epoch before, and that copy refuses the old epoch from then on: read one.
+// Write-all meets read-one, so an old owner that was frozen and wakes can
+// grant nothing the new one doesn't know of. No clock decides ownership.
+//
+// ClaimCopies is the part of every box that stores copies. ClaimOwner is the
+// part that grants, for the slots the box owns.
+//
+//   ClaimReply reply = owner.Handle(request, now);
+//   if (reply.code() == 0) ...  // granted: dispatch, then finish it
+//
+// A claim granted and never dispatched is released, and may be made again.
+
+#ifndef LEVERWICK_CLAIMS_H_
+#define LEVERWICK_CLAIMS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "leverwick/result.h"
+#include "leverwick/slots.h"
+#include "leverwick/time.h"
+#include "schema/peer.pb.h"
+
+namespace leverwick {
+
+// Wall-clock time, only ever compared within a window of minutes.
+using WallTime = std::chrono::system_clock::time_point;
+
+// Stores copies of slots' claims. Thread-safe; one lock a slot.
+class ClaimCopies {
+ public:
+  // Reads the claims of `for_epoch` and refuses that epoch from now on.
+  SealReply Seal(const SealRequest& request);
+
+  // Takes over all claims of a slot at an epoch; false when a later epoch has
+  // been sealed or installed.
+  bool Install(const InstallRequest& request);
+
+  // Stores one claim; false unless the slot is installed at just this epoch
+  // and not sealed.
+  bool Put(const PutRequest& request);
+
+  // The claim of a key; false when there is none at this epoch.
+  bool Find(const SlotRef& slot, const std::string& key, Claim* claim) const;
+
+  // Forgets claims made before `oldest`. Returns how many.
+  size_t Expire(WallTime oldest);
+
+  // Claims held now.
+  size_t size() const;
+
+ private:
+  struct Copy {
+    mutable std::mutex mutex;
+    uint64_t installed_epoch = 0;
+    uint64_t sealed_epoch = 0;  // epochs below this are refused
+    std::map<std::string, Claim> claims;
+  };
+
+  Copy& CopyOf(const SlotRef& slot) const;
+
+  mutable std::mutex mutex_;  // guards the map, not the copies
+  mutable std::map<std::pair<std::string, uint32_t>, std::unique_ptr<Copy>>
+      copies_;
+};
+
+// How the owner reaches the copies on other boxes; each call returns an error
+// when the box could not be reached or is another life.
+class ClaimPeers {
+ public:
+  virtual ~ClaimPeers() = default;
+  virtual std::error_code Seal(const Member& member, const SealRequest& request,
+                               SealReply* reply) = 0;
+  virtual std::error_code Install(const Member& member,
+                                  const InstallRequest& request,
+                                  Ack* reply) = 0;
+  virtual std::error_code Put(const Member& member, const PutRequest& request,
+                              Ack* reply) = 0;
+  // Whether the platform's list says that the life is over for good.
+  virtual bool IsGone(const Member& member) = 0;
+};
+
+struct ClaimOptions {
+  std::string life;  // of this box
+  std::string data_centre;
+  nanoseconds window{0};    // how long a key is remembered
+  nanoseconds deadline{0};  // longest life of a request
+};
+
+// Grants claims for the slots this box owns. Thread-safe; one lock a slot,
+// held over the calls to the copies.
+class ClaimOwner {
+ public:
+  // `placements` gives a slot's placements, newest first, from the table in
+  // force. The pointers must outlive the owner.
+  using PlacementSource = std::function<std::vector<Placement>(uint32_t slot)>;
+  ClaimOwner(ClaimOptions options, ClaimCopies* copies, ClaimPeers* peers,
+             PlacementSource placements);
+
+  // Grants, finishes or releases a claim.
+  ClaimReply Handle(const ClaimRequest& request, WallTime now);
+
+  // Activates the slots this box owns and has not activated yet; returns
+  // whether all `slots` of them are active.
+  bool ActivateOwned(uint32_t slots, WallTime now);
+
+ private:
+  struct Slot {
+    std::mutex mutex;
+    uint64_t active_epoch = 0;
+    uint64_t last_change = 0;   // of the puts of this epoch
+    WallTime doubtful_until{};  // every copy was lost: earlier keys unknown
+  };
+
+  Slot& SlotAt(uint32_t slot);
+  bool Owns(const Placement& placement) const;
+  SlotRef RefOf(uint32_t slot, uint64_t epoch) const;
+  bool Activate(uint32_t slot, const std::vector<Placement>& placements,
+                Slot* state, WallTime now);
+  enum class Read { kComplete, kNeverActive, kUnreachable, kLost };
+  Read ReadOld(const SlotRef& slot, const Placement& old,
+               std::vector<Claim>* claims);
+  bool InstallAll(const SlotRef& slot, const Placement& placement,
+                  const std::vector<Claim>& claims);
+  bool PutAll(const SlotRef& slot, const Placement& placement,
+              const Claim& claim, Slot* state);
+  ClaimReply Grant(const SlotRef& slot, const Placement& placement,
+                   const Claim& wanted, Slot* state, WallTime now);
+  ClaimReply Finish(const SlotRef& slot, const Placement& placement,
+                    const Claim& outcome, Slot* state);
+  ClaimReply Answer(const Claim& found, const Claim& wanted,
+                    WallTime now) const;
+  bool InstallAt(const Member& member, const InstallRequest& request);
+  bool PutAt(const Member& member, const PutRequest& request);
+  bool SealAt(const Member& member, const SealRequest& request,
+              SealReply* reply);
+
+  const ClaimOptions options_;
+  ClaimCopies* const copies_;
+  ClaimPeers* const peers_;
+  const PlacementSource placements_;
+  std::mutex mutex_;  // guards the map, not the slots
+  std::map<uint32_t, std::unique_ptr<Slot>> slots_;
+};
+
+// The digest under which a caller's key is claimed.
+std::string ClaimKey(const std::string& organisation, const std::string& key);
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_CLAIMS_H_
--- /dev/null
+++ b/leverwick/endpoints.h
@@ -0,0 +1,124 @@
+// Which endpoint of a version takes a request.
+//
+// A box's own requests in progress are exact; load reports are late and count
+// everyone's requests, so they are discounted with age; the platform's list
+// lags, so an endpoint's own word that it is leaving wins over it. A prompt
+// goes where its prefix was sent before (rendezvous hash), unless that
+// endpoint is much busier than another.
+//
+//   EndpointPool pool;
+//   pool.SetListed(endpoints, now);
+//   EndpointPool::Choice choice = pool.Pick({"swift", "3"}, prefix, {}, now);
+//   pool.Started(choice.address); ... pool.Ended(choice.address, ok, now);
+
+#ifndef LEVERWICK_ENDPOINTS_H_
+#define LEVERWICK_ENDPOINTS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+// One endpoint as the platform lists it.
+struct ListedEndpoint {
+  std::string address;  // ip:port
+  std::string target;   // "model@version", or "service/NAME"
+  std::string data_centre;
+  size_t places = 1;  // requests it serves at once
+  bool leaving = false;
+};
+
+struct LoadReport {
+  size_t running = 0;
+  size_t queued = 0;
+  bool leaving = false;
+};
+
+// Thread-safe; endpoints are sharded by target.
+class EndpointPool {
+ public:
+  struct Choice {
+    std::string address;  // empty: no endpoint may take it
+    double load = 0;      // requests over places, of the endpoint chosen
+  };
+
+  // Replaces what the platform lists. Endpoints that vanish are kept while
+  // requests run on them.
+  void SetListed(const std::vector<ListedEndpoint>& endpoints, TimePoint now);
+
+  // An endpoint's own report, or a peer's note of it.
+  void Reported(const std::string& address, const LoadReport& report,
+                TimePoint now);
+
+  // Picks an endpoint for `target`. `affinity` is a hash of organisation and
+  // prompt prefix; `excluded` were tried already.
+  Choice Pick(const std::string& target, uint64_t affinity,
+              const std::set<std::string>& excluded, TimePoint now) const;
+
+  // The simple reference of Pick: the least loaded of all, no affinity.
+  Choice PickLeastLoaded(const std::string& target,
+                         const std::set<std::string>& excluded,
+                         TimePoint now) const;
+
+  void Started(const std::string& address);
+  // `good`: the endpoint answered; false ejects it after repeated failures.
+  void Ended(const std::string& address, bool good, TimePoint now);
+
+  // The endpoint says that it is leaving, or it refused connections.
+  void Leaving(const std::string& address, TimePoint now);
+
+  // Whether any endpoint of the target may take work.
+  bool Serves(const std::string& target, TimePoint now) const;
+
+  // Places of a target's usable endpoints.
+  size_t Places(const std::string& target, TimePoint now) const;
+
+  std::vector<std::string> addresses() const;
+  std::string TargetOf(const std::string& address) const;
+  size_t OwnRequests(const std::string& address) const;
+
+ private:
+  struct Endpoint {
+    ListedEndpoint listed;
+    bool in_list = true;
+    size_t own = 0;
+    double others = 0;  // others' requests at the report
+    TimePoint reported{};
+    bool leaving = false;  // by its own word
+    TimePoint leaving_since{};
+    size_t failures = 0;  // in a row
+    TimePoint ejected_until{};
+  };
+  using Endpoints = std::map<std::string, Endpoint>;
+  struct Shard {
+    mutable std::mutex mutex;
+    std::map<std::string, Endpoints> targets;
+  };
+  static constexpr size_t kShards = 16;
+
+  Shard& ShardOf(const std::string& target) const;
+  template <typename Function>
+  void With(const std::string& address, Function function);
+  static bool Usable(const Endpoint& endpoint);
+  static double LoadOf(const Endpoint& endpoint, TimePoint now);
+  static std::vector<const Endpoint*> Candidates(
+      const Endpoints& endpoints, const std::set<std::string>& excluded,
+      TimePoint now);
+  static void Merge(const ListedEndpoint& listed, TimePoint now,
+                    Endpoint* endpoint);
+
+  mutable std::mutex address_mutex_;
+  std::map<std::string, std::string> target_by_address_;
+  mutable std::array<Shard, kShards> shards_;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_ENDPOINTS_H_
--- /dev/null
+++ b/leverwick/estimates.h
@@ -0,0 +1,105 @@
+// What is known of each version: quality, length, latency and errors.
+//
+// Every box life keeps sums of its own observations by version and request
+// class. Sums of different lives add up, so boxes exchange them whole and a
+// life's newest sums replace its older ones; nothing is counted twice. Ratings
+// come late, sampled, or not at all, so a version's quality starts from the
+// table's prior and moves with the ratings that came.
+//
+//   Estimates estimates("box-a1-7f", max_lives);
+//   estimates.Answered(version_key, request_class, observation);
+//   estimates.Rated(version_key, request_class, confident, 0.8);
+//   double quality = estimates.Quality(version, request_class);
+
+#ifndef LEVERWICK_ESTIMATES_H_
+#define LEVERWICK_ESTIMATES_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "leverwick/time.h"
+#include "schema/peer.pb.h"
+#include "schema/table.pb.h"
+
+namespace leverwick {
+
+struct Observation {
+  bool error = false;
+  bool weak = false;  // low confidence, of a unary answer
+  Seconds latency{0};
+  int64_t completion_tokens = 0;
+};
+
+// Sums over all lives, in a form that is cheap to read.
+struct VersionView {
+  double answers = 0;
+  double errors = 0;
+  double weak = 0;
+  double log_latency_mean = 0;
+  double log_latency_variance = 0;
+  double ratings = 0;
+  double rating_mean = 0;
+  double rating_variance = 0;
+  double confident_ratings = 0;
+  double confident_rating_mean = 0;
+  double completion_tokens_mean = 0;
+};
+
+// Thread-safe.
+class Estimates {
+ public:
+  explicit Estimates(std::string life) : life_(std::move(life)) {}
+
+  void Answered(const std::string& version_key, uint32_t request_class,
+                const Observation& observation);
+  void Rated(const std::string& version_key, uint32_t request_class,
+             bool confident, double rating);
+
+  // Halves this life's sums, so that old observations fade.
+  void Fade();
+
+  // Takes another life's sums; older ones of the same life are replaced.
+  void Merge(const LifeSums& sums);
+
+  // This life's sums, and those of others, for exchange and for the store.
+  LifeSums own() const;
+  std::vector<LifeSums> all() const;
+
+  VersionView View(const std::string& version_key,
+                   uint32_t request_class) const;
+
+  // Expected rating: the prior counts as kPriorRatings ratings.
+  double Quality(const Version& version, uint32_t request_class) const;
+
+  // Expected rating of answers that are not weak.
+  double ConfidentQuality(const Version& version, uint32_t request_class) const;
+
+  // Share of unary answers that are weak; the prior is 0.3.
+  double WeakShare(const Version& version, uint32_t request_class) const;
+
+  // Expected generated tokens; `prior` until answers came.
+  double CompletionTokens(const Version& version, uint32_t request_class,
+                          double prior) const;
+
+ private:
+  using Key = std::pair<std::string, uint32_t>;
+  using Sums = std::map<Key, VersionSum>;
+
+  VersionSum& Own(const std::string& version_key, uint32_t request_class);
+  VersionSum TotalOf(const Key& key) const;
+
+  const std::string life_;
+  mutable std::mutex mutex_;
+  Sums own_;
+  uint64_t own_version_ = 0;
+  std::map<std::string, LifeSums> others_;
+  Sums others_total_;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_ESTIMATES_H_
--- /dev/null
+++ b/leverwick/fair_queue.h
@@ -0,0 +1,85 @@
+// Who gets the next free place of a busy pool.
+//
+// Weighted fair queueing in cost (tokens), not in requests: an organisation's
+// long filings can't slow another's short lookups. A place is one request in
+// progress. While places are free nobody waits. When the queue is full, the
+// waiter of the lowest priority is shed, at once.
+//
+//   FairQueue queue(options);
+//   FairQueue::Ticket ticket = queue.Enter("acme", 1.0, 5, 800, now);
+//   if (ticket.state == FairQueue::kWaiting) ...  // a later Leave starts it
+//
+// The queue has no threads: Leave returns the ids that may start now and
+// Enter the ids that were shed; the caller wakes their threads.
+
+#ifndef LEVERWICK_FAIR_QUEUE_H_
+#define LEVERWICK_FAIR_QUEUE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+// Not thread-safe; the daemon guards each pool's queue with its own lock.
+class FairQueue {
+ public:
+  enum State { kRunning, kWaiting, kShed };
+
+  struct Ticket {
+    uint64_t id = 0;
+    State state = kShed;
+  };
+
+  FairQueue(size_t places, size_t max_waiting)
+      : places_(places), max_waiting_(max_waiting) {}
+
+  // Enters a request of `cost` tokens. A waiter shed in its favour is added
+  // to `shed`.
+  Ticket Enter(const std::string& organisation, double weight, int priority,
+               double cost, std::vector<uint64_t>* shed);
+
+  // A running request ended; returns the ids that run from now on.
+  std::vector<uint64_t> Leave(uint64_t id);
+
+  // A waiter gave up. False when it runs already.
+  bool Cancel(uint64_t id);
+
+  // Changes the number of places; returns the ids that run from now on.
+  std::vector<uint64_t> SetPlaces(size_t places);
+
+  size_t running() const { return running_.size(); }
+  size_t waiting() const { return waiters_.size(); }
+
+  // Expected time until a new request would start, from the mean time a place
+  // was held.
+  nanoseconds ExpectedWait(nanoseconds mean_hold) const;
+
+ private:
+  struct Waiter {
+    std::string organisation;
+    double finish = 0;  // virtual time at which it would end
+    double cost = 0;
+    int priority = 0;
+  };
+
+  std::vector<uint64_t> StartWaiters();
+  uint64_t LeastImportant() const;
+
+  size_t places_;
+  const size_t max_waiting_;
+  uint64_t last_id_ = 0;
+  double virtual_time_ = 0;
+  std::map<std::string, double> last_finish_;  // by organisation
+  std::map<uint64_t, Waiter> waiters_;
+  std::set<std::pair<double, uint64_t>> order_;  // by finish
+  std::set<uint64_t> running_;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_FAIR_QUEUE_H_
--- /dev/null
+++ b/leverwick/freshness.h
@@ -0,0 +1,75 @@
+// Whether this box's table is new enough to take work.
+//
+// A box that was paused must not act on the table it had before, so new work
+// needs a recent attempt to read the log. A box that is cut off has recent
+// attempts, all failed: it goes on, and after a while only with versions that
+// were stable, since then exposure to a bad version can only shrink. A box
+// that a peer tells of a later offset must catch up first.
+
+#ifndef LEVERWICK_FRESHNESS_H_
+#define LEVERWICK_FRESHNESS_H_
+
+#include <cstdint>
+#include <mutex>
+
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+struct FreshnessOptions {
+  nanoseconds freshness{0};
+  nanoseconds cut_off_after{0};
+};
+
+// Thread-safe.
+class Freshness {
+ public:
+  enum State {
+    kFresh,   // take all work
+    kCutOff,  // stable versions only
+    kPaused,  // no new work: this box did not run for a while
+    kBehind,  // no new work: a later table is in force elsewhere
+  };
+
+  explicit Freshness(FreshnessOptions options) : options_(options) {}
+
+  // An attempt to read the log ended, with the end of the log or an error.
+  void Read(bool succeeded, uint64_t next_offset, TimePoint now) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    last_attempt_ = now;
+    if (!succeeded) return;
+    last_success_ = now;
+    applied_ = std::max(applied_, next_offset);
+  }
+
+  // A peer has applied the log up to `next_offset`.
+  void Heard(uint64_t next_offset, TimePoint now) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (next_offset <= applied_ || next_offset <= heard_) return;
+    // The bound runs from the first offset that is still missing.
+    if (heard_ <= applied_) behind_since_ = now;
+    heard_ = next_offset;
+  }
+
+  State At(TimePoint now) const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (now - last_attempt_ > options_.freshness) return kPaused;
+    if (heard_ > applied_ && now - behind_since_ > options_.freshness) {
+      return kBehind;
+    }
+    return now - last_success_ > options_.cut_off_after ? kCutOff : kFresh;
+  }
+
+ private:
+  const FreshnessOptions options_;
+  mutable std::mutex mutex_;
+  TimePoint last_attempt_{};
+  TimePoint last_success_{};
+  TimePoint behind_since_{};
+  uint64_t applied_ = 0;
+  uint64_t heard_ = 0;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_FRESHNESS_H_
--- /dev/null
+++ b/leverwick/guard.h
@@ -0,0 +1,84 @@
+// Stops a version that turns bad, with few requests and few false alarms.
+//
+// The guard weighs every answer of a version under watch against the answers
+// of the version it replaces: the log likelihood ratio of "as bad as the
+// limits forbid" to "as good as before", for errors, latency and ratings. Each
+// box sums its own; the sums of all boxes add up. When the total has risen by
+// more than a threshold above its lowest value, the version is tripped. A trip
+// is remembered for good: only a new subject (an operator's edit) starts anew.
+//
+//   Guard guard("box-a1-7f");
+//   guard.Answered("rollout/spring", limits, baseline, observation);
+//   if (guard.Tripped("rollout/spring", &why)) ...
+
+#ifndef LEVERWICK_GUARD_H_
+#define LEVERWICK_GUARD_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "leverwick/estimates.h"
+#include "schema/peer.pb.h"
+#include "schema/table.pb.h"
+
+namespace leverwick {
+
+struct GuardLimits {
+  double error_increase = 0.05;
+  double rating_drop = 0.1;
+  double latency_ratio = 1.5;
+};
+
+GuardLimits LimitsOf(const Rollout& rollout);
+
+// Thread-safe.
+class Guard {
+ public:
+  explicit Guard(std::string life) : life_(std::move(life)) {}
+
+  // An answer of the subject; `baseline` are the answers it is held against.
+  void Answered(const std::string& subject, const GuardLimits& limits,
+                const VersionView& baseline, const Observation& observation);
+  void Rated(const std::string& subject, const GuardLimits& limits,
+             const VersionView& baseline, double rating);
+
+  // Takes another life's sums.
+  void Merge(const GuardSum& sum);
+
+  // Another box tripped the subject, or the log says so.
+  void Trip(const std::string& subject, const std::string& why);
+
+  bool Tripped(const std::string& subject, std::string* why) const;
+
+  // Answers of the subject counted by all boxes.
+  uint64_t Answers(const std::string& subject) const;
+
+  // This life's sums, and every trip, for exchange.
+  std::vector<GuardSum> own() const;
+  std::vector<RolloutTrip> trips() const;
+
+  // Forgets subjects that are not in `subjects`.
+  void Keep(const std::vector<std::string>& subjects);
+
+ private:
+  struct Subject {
+    GuardSum own;
+    std::map<std::string, GuardSum> others;  // by life
+    double lowest[3] = {0, 0, 0};            // of the totals
+    bool tripped = false;
+    std::string why;
+  };
+
+  void Check(Subject* subject);
+
+  const std::string life_;
+  mutable std::mutex mutex_;
+  std::map<std::string, Subject> subjects_;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_GUARD_H_
--- /dev/null
+++ b/leverwick/membership.cc
@@ -0,0 +1,167 @@
+// The ring is the roster sorted by the hash of the lives; a member's targets
+// are its next `fanout` successors. Only the targets of a member judge it, for
+// only they should hear from it.
+
+#include "leverwick/membership.h"
+
+#include <algorithm>
+
+#include "leverwick/digest.h"
+
+namespace leverwick {
+namespace {
+
+bool Holds(const Roster& roster, const std::string& life) {
+  for (const Member& member : roster.members()) {
+    if (member.life() == life) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+uint32_t LifeHash(const std::string& life) {
+  return static_cast<uint32_t>(StableHash(life));
+}
+
+void Membership::Tick(const Roster& roster, TimePoint now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  bool paused = now - last_tick_ > options_.dead_after / 2;
+  last_tick_ = now;
+  if (paused) {
+    for (auto& entry : peers_) entry.second.heard = now;
+  }
+  if (roster.epoch() == roster_.epoch()) return;
+  roster_ = roster;
+  // A member seen for the first time has the full time to be heard.
+  for (const Member& member : roster_.members()) {
+    peers_.emplace(member.life(), Peer{now, false});
+  }
+  bool is_member = Holds(roster_, options_.self.life());
+  if (was_member_ && !is_member) removed_at_ = now;
+  was_member_ = is_member;
+}
+
+void Membership::Heard(const Member& from, uint64_t next_offset, bool leaving,
+                       TimePoint now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  Peer& peer = peers_[from.life()];
+  peer.heard = now;
+  peer.leaving = leaving;
+  uint64_t& offset = offsets_[LifeHash(from.life())];
+  offset = std::max(offset, next_offset);
+}
+
+void Membership::HeardOf(uint32_t life_hash, uint64_t next_offset) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  uint64_t& offset = offsets_[life_hash];
+  offset = std::max(offset, next_offset);
+}
+
+void Membership::Listed(const std::vector<std::string>& lives, TimePoint now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  list_read_ = now;
+  for (const std::string& life : lives) listed_[life] = now;
+}
+
+bool Membership::IsGone(const std::string& life, TimePoint now) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (now - list_read_ > options_.dead_after) return false;
+  auto found = listed_.find(life);
+  // A life this box never saw listed is gone if it is not heard of either.
+  TimePoint last = found == listed_.end() ? TimePoint{} : found->second;
+  auto peer = peers_.find(life);
+  if (peer != peers_.end()) last = std::max(last, peer->second.heard);
+  return now - last > options_.dead_after;
+}
+
+std::vector<Member> Membership::SuccessorsOf(const std::string& life) const {
+  std::vector<Member> ring(roster_.members().begin(), roster_.members().end());
+  std::sort(ring.begin(), ring.end(), [](const Member& a, const Member& b) {
+    return StableHash(a.life()) < StableHash(b.life());
+  });
+  auto self = std::find_if(ring.begin(), ring.end(), [&life](const Member& m) {
+    return m.life() == life;
+  });
+  if (self == ring.end()) return {};
+  std::rotate(ring.begin(), self + 1, ring.end());
+  ring.pop_back();
+  if (ring.size() > options_.fanout) ring.resize(options_.fanout);
+  return ring;
+}
+
+std::vector<Member> Membership::Targets() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return SuccessorsOf(options_.self.life());
+}
+
+bool Membership::SendsToUs(const Member& member) const {
+  for (const Member& target : SuccessorsOf(member.life())) {
+    if (target.life() == options_.self.life()) return true;
+  }
+  return false;
+}
+
+bool Membership::IsSilent(const Member& member, TimePoint now) const {
+  auto found = peers_.find(member.life());
+  if (found == peers_.end()) return false;
+  if (found->second.leaving) return false;
+  return now - found->second.heard > options_.dead_after;
+}
+
+std::optional<RosterChange> Membership::Propose(bool stopping, TimePoint now) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const std::string& self = options_.self.life();
+  bool is_member = Holds(roster_, self);
+  RosterChange change;
+  change.set_data_centre(options_.data_centre);
+  change.set_base_epoch(roster_.epoch());
+  bool changed = false;
+  for (const Member& member : roster_.members()) {
+    bool is_self = member.life() == self;
+    // A new life at our address proves that the old one is over.
+    bool replaced = !is_self && member.address() == options_.self.address();
+    bool judged = is_member ? SendsToUs(member) : roster_.members_size() == 1;
+    bool silent = !is_self && judged && IsSilent(member, now);
+    if (replaced || silent || (is_self && stopping)) {
+      changed = true;
+      continue;
+    }
+    *change.add_members() = member;
+  }
+  // A box that others removed waits, lest the roster change back and forth.
+  bool damped = now - removed_at_ < options_.dead_after;
+  if (!is_member && !stopping && !damped) {
+    *change.add_members() = options_.self;
+    changed = true;
+  }
+  if (!changed) return std::nullopt;
+  return change;
+}
+
+bool Membership::Settled() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (const Member& member : roster_.members()) {
+    if (member.life() == options_.self.life()) continue;
+    auto found = offsets_.find(LifeHash(member.life()));
+    if (found == offsets_.end() || found->second < roster_.epoch()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<MemberSeen> Membership::seen() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<MemberSeen> all;
+  for (const Member& member : roster_.members()) {
+    auto found = offsets_.find(LifeHash(member.life()));
+    if (found == offsets_.end()) continue;
+    all.emplace_back();
+    all.back().set_life_hash(found->first);
+    all.back().set_next_offset(found->second);
+  }
+  return all;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/leverwick/membership.h
@@ -0,0 +1,97 @@
+// Who is in the data centre's roster, and when to propose a change of it.
+//
+// Boxes send heartbeats to the next few members on a ring, so the cost of one
+// box doesn't grow with the data centre. The roster itself changes only by a
+// record in the platform's log: Membership merely says what this box would
+// append. A joining box proposes itself, a stopping one proposes to go, and a
+// silent one is proposed for removal by those it should send heartbeats to.
+//
+// A box that was paused itself must not take its own silence for that of the
+// others: Tick starts all timers anew when it is late.
+
+#ifndef LEVERWICK_MEMBERSHIP_H_
+#define LEVERWICK_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "leverwick/time.h"
+#include "schema/peer.pb.h"
+#include "schema/table.pb.h"
+
+namespace leverwick {
+
+struct MembershipOptions {
+  Member self;
+  std::string data_centre;
+  nanoseconds dead_after{0};
+  size_t fanout = 4;
+};
+
+// Thread-safe.
+class Membership {
+ public:
+  explicit Membership(MembershipOptions options)
+      : options_(std::move(options)) {}
+
+  // Must be called often; `roster` is the one in force.
+  void Tick(const Roster& roster, TimePoint now);
+
+  // A heartbeat, or an answer to one, came from a peer.
+  void Heard(const Member& from, uint64_t next_offset, bool leaving,
+             TimePoint now);
+
+  // A heartbeat passed on what a member has applied.
+  void HeardOf(uint32_t life_hash, uint64_t next_offset);
+
+  // The addresses of live boxes of this data centre in the platform's list.
+  // Kept to tell a box that is gone from one that is silent.
+  void Listed(const std::vector<std::string>& lives, TimePoint now);
+
+  // Whether the list, read since, has not held the life for dead_after.
+  bool IsGone(const std::string& life, TimePoint now) const;
+
+  // The members that get this box's heartbeats.
+  std::vector<Member> Targets() const;
+
+  // The change this box would append now; none when the roster is right.
+  std::optional<RosterChange> Propose(bool stopping, TimePoint now);
+
+  // Whether every member is known to have applied the roster's record.
+  bool Settled() const;
+
+  // What to pass on of the members' offsets.
+  std::vector<MemberSeen> seen() const;
+
+ private:
+  struct Peer {
+    TimePoint heard{};
+    bool leaving = false;
+  };
+
+  bool IsSilent(const Member& member, TimePoint now) const;
+  bool SendsToUs(const Member& member) const;
+  std::vector<Member> SuccessorsOf(const std::string& life) const;
+
+  const MembershipOptions options_;
+  mutable std::mutex mutex_;
+  Roster roster_;
+  std::map<std::string, Peer> peers_;        // by life
+  std::map<uint32_t, uint64_t> offsets_;     // by hash of life
+  std::map<std::string, TimePoint> listed_;  // last time in the list
+  TimePoint list_read_{};
+  TimePoint last_tick_{};
+  TimePoint removed_at_{};  // this box left the roster
+  bool was_member_ = false;
+};
+
+// The hash under which MemberSeen names a life.
+uint32_t LifeHash(const std::string& life);
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_MEMBERSHIP_H_
--- /dev/null
+++ b/leverwick/planner.cc
@@ -0,0 +1,153 @@
+// This is a Lagrangian relaxation of "least cost with mean quality at the
+// target", solved on line: the multiplier is the price of quality, moved a
+// little by each decision's distance from the target. Costs are divided by the
+// organisation's mean cost, so that one step size fits all price lists.
+
+#include "leverwick/planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "leverwick/digest.h"
+#include "leverwick/table.h"
+
+namespace leverwick {
+namespace {
+
+constexpr int64_t kShortPrompt = 200;    // tokens
+constexpr int64_t kMediumPrompt = 2000;  // tokens
+constexpr uint32_t kTaskClasses = 8;
+constexpr double kPriorCompletion = 200;  // tokens
+constexpr double kPerMillion = 1e-6;
+constexpr double kPriceStep = 0.05;
+constexpr double kLeastPrice = 1e-3;
+constexpr double kMostPrice = 1e3;
+constexpr double kCostMemory = 0.02;
+// Aim a little above, for the estimates are noisy.
+constexpr double kMargin = 0.005;
+// A version counts as known after this many ratings of a class.
+constexpr double kKnownRatings = 30;
+
+uint32_t LengthClass(int64_t prompt_tokens) {
+  if (prompt_tokens < kShortPrompt) return 0;
+  return prompt_tokens < kMediumPrompt ? 1 : 2;
+}
+
+std::string Describe(const Plan& plan) {
+  std::string text = VersionKey(plan.first->model(), plan.first->version());
+  if (plan.better == nullptr) return text;
+  return text + ", then " +
+         VersionKey(plan.better->model(), plan.better->version()) + " if weak";
+}
+
+}  // namespace
+
+uint32_t RequestClass(int64_t prompt_tokens, bool streamed,
+                      const std::string& task) {
+  uint32_t task_class =
+      task.empty()
+          ? 0
+          : 1 + static_cast<uint32_t>(StableHash(task) % (kTaskClasses - 1));
+  return LengthClass(prompt_tokens) + 3 * (streamed ? 1u : 0u) + 6 * task_class;
+}
+
+Plan Planner::Single(const PlanRequest& request, const Version* version) const {
+  double completion = estimates_->CompletionTokens(
+      *version, request.request_class, kPriorCompletion);
+  if (request.max_tokens > 0) {
+    completion = std::min(completion, static_cast<double>(request.max_tokens));
+  }
+  Plan plan;
+  plan.first = version;
+  plan.expected_cost =
+      kPerMillion *
+      (static_cast<double>(request.prompt_tokens) * version->prompt_price() +
+       completion * version->completion_price());
+  plan.expected_quality = estimates_->Quality(*version, request.request_class);
+  return plan;
+}
+
+Plan Planner::Cascade(const PlanRequest& request, const Plan& first,
+                      const Plan& better) const {
+  double weak = estimates_->WeakShare(*first.first, request.request_class);
+  double confident =
+      estimates_->ConfidentQuality(*first.first, request.request_class);
+  Plan plan;
+  plan.first = first.first;
+  plan.better = better.first;
+  plan.expected_cost = first.expected_cost + weak * better.expected_cost;
+  plan.expected_quality =
+      (1 - weak) * confident + weak * better.expected_quality;
+  return plan;
+}
+
+std::vector<Plan> Planner::Plans(
+    const PlanRequest& request,
+    const std::vector<const Version*>& candidates) const {
+  std::vector<Plan> singles;
+  for (const Version* version : candidates) {
+    singles.push_back(Single(request, version));
+  }
+  std::vector<Plan> plans = singles;
+  if (request.streamed) return plans;
+  for (const Plan& first : singles) {
+    for (const Plan& better : singles) {
+      if (better.expected_quality <= first.expected_quality) continue;
+      if (better.expected_cost <= first.expected_cost) continue;
+      plans.push_back(Cascade(request, first, better));
+    }
+  }
+  return plans;
+}
+
+const Plan* Planner::Explore(const PlanRequest& request,
+                             const std::vector<Plan>& plans) const {
+  if (request.draw >= request.organisation->exploration()) return nullptr;
+  const Plan* least_known = nullptr;
+  double fewest = kKnownRatings;
+  for (const Plan& plan : plans) {
+    if (plan.better != nullptr) continue;
+    double ratings =
+        estimates_
+            ->View(VersionKey(plan.first->model(), plan.first->version()),
+                   request.request_class)
+            .ratings;
+    if (ratings >= fewest) continue;
+    least_known = &plan;
+    fewest = ratings;
+  }
+  return least_known;
+}
+
+Plan Planner::Choose(const PlanRequest& request,
+                     const std::vector<const Version*>& candidates) {
+  std::vector<Plan> plans = Plans(request, candidates);
+  if (plans.empty()) return Plan();
+  const std::string& name = request.organisation->name();
+  Shard& shard = shards_[StableHash(name) % kShards];
+  std::lock_guard<std::mutex> lock(shard.mutex);
+  Price& price = shard.prices[name];
+  if (price.cost_scale == 0) price.cost_scale = plans[0].expected_cost + 1e-12;
+  const Plan* explored = Explore(request, plans);
+  auto score = [&price](const Plan& plan) {
+    return plan.expected_cost / price.cost_scale -
+           price.quality * plan.expected_quality;
+  };
+  Plan chosen = explored != nullptr
+                    ? *explored
+                    : *std::min_element(plans.begin(), plans.end(),
+                                        [&score](const Plan& a, const Plan& b) {
+                                          return score(a) < score(b);
+                                        });
+  chosen.why = Describe(chosen) +
+               (explored != nullptr ? ": to learn its quality"
+                                    : ": cheapest expected to meet the target");
+  double lacking = request.organisation->quality_target() + kMargin -
+                   chosen.expected_quality;
+  price.quality = std::clamp(price.quality * std::exp(kPriceStep * lacking),
+                             kLeastPrice, kMostPrice);
+  price.cost_scale += kCostMemory * (chosen.expected_cost - price.cost_scale);
+  return chosen;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/leverwick/result.h
@@ -0,0 +1,107 @@
+// Numbered result codes.
+//
+// Every refusal or failure that a caller, an operator or a peer can see has
+// one number, listed in docs/ERRORS.md. A code also fixes the HTTP status and
+// what is known of the request: that it did not run, ran, or may have run.
+//
+//   std::error_code error = Result::kLimited;
+//   if (Info(Result::kLimited).run_state == RunState::kNotRun) ...
+
+#ifndef LEVERWICK_RESULT_H_
+#define LEVERWICK_RESULT_H_
+
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace leverwick {
+
+enum class Result {
+  kOk = 0,
+  // The request itself is at fault.
+  kBadRequest = 1001,
+  kBadKey = 1002,
+  kNotAllowed = 1003,
+  kUnknownModel = 1004,
+  kBadSession = 1005,
+  kSessionWithdrawn = 1006,
+  kBodyTooLarge = 1007,
+  kBadContentType = 1008,
+  kKeyReused = 1009,
+  kUnknownPath = 1010,
+  kBadMethod = 1011,
+  kUnknownRequest = 1012,
+  // Did not run; come back later.
+  kLimited = 2001,
+  kOverloaded = 2002,
+  kStopping = 2003,
+  kNotReady = 2004,
+  kStaleTable = 2005,
+  kNoEndpoint = 2006,
+  kClaimsUnavailable = 2007,
+  kBillsFull = 2008,
+  kQueueTimeout = 2009,
+  kEndpointRefused = 2010,
+  // Ran, or may have run.
+  kUnknownOutcome = 3001,
+  kFailed = 3002,
+  kDeadline = 3003,
+  kShortAnswer = 3004,
+  kInProgress = 3005,
+  kKeyOutcomeUnknown = 3006,
+  kAnswerNotKept = 3007,
+  // Changes of the table.
+  kStaleRevision = 4001,
+  kInvalidRow = 4002,
+  kImmutableCell = 4003,
+  kUnknownKind = 4004,
+  kUnknownReference = 4005,
+  kStaleRoster = 4006,
+  kStepOutOfOrder = 4007,
+  kRolloutStopped = 4008,
+  kUnusableRecord = 4009,
+  // Between the parts of the system.
+  kUnreachable = 5001,
+  kBadResponse = 5002,
+  kRefused = 5003,
+  kInvalidSettings = 5004,
+  kAppendUnknown = 5005,
+  kExpired = 5006,
+  kNotOwner = 5007,
+};
+
+// What is known of a request when its caller is told a result.
+enum class RunState { kNotRun, kRan, kUnknown };
+
+struct ResultInfo {
+  Result result;
+  const char* name;  // as in docs/ERRORS.md
+  int http_status;
+  RunState run_state;
+  const char* message;  // one sentence for the reader of the error
+};
+
+// The row of `result`.
+const ResultInfo& Info(Result result);
+
+// All rows, in the order of their numbers.
+const std::vector<ResultInfo>& AllResults();
+
+// "not_run", "ran" or "unknown".
+const char* RunStateName(RunState state);
+
+const std::error_category& ResultCategory();
+
+std::error_code make_error_code(Result result);
+
+// The Result in `error`, or kBadResponse for a foreign category.
+Result ResultOf(const std::error_code& error);
+
+}  // namespace leverwick
+
+namespace std {
+template <>
+struct is_error_code_enum<leverwick::Result> : true_type {};
+}  // namespace std
+
+#endif  // LEVERWICK_RESULT_H_
--- /dev/null
+++ b/leverwick/slots.cc
@@ -0,0 +1,58 @@
+// Rendezvous hashing: each (slot, life) pair has a hash and the highest win.
+// A box that comes or goes moves only the slots it wins or held.
+
+#include "leverwick/slots.h"
+
+#include <algorithm>
+
+#include "leverwick/digest.h"
+
+namespace leverwick {
+namespace {
+
+std::vector<Member> CopiesOf(const Roster& roster, uint32_t slot) {
+  std::vector<Member> ranked = RankMembers(roster, slot);
+  if (ranked.size() > kSlotCopies) ranked.resize(kSlotCopies);
+  return ranked;
+}
+
+bool SameLives(const std::vector<Member>& a, const std::vector<Member>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const Member& left, const Member& right) {
+                      return left.life() == right.life();
+                    });
+}
+
+}  // namespace
+
+uint32_t SlotOf(const std::string& key, uint32_t slots) {
+  return static_cast<uint32_t>(StableHash(key) % slots);
+}
+
+std::vector<Member> RankMembers(const Roster& roster, uint32_t slot) {
+  std::vector<Member> members(roster.members().begin(), roster.members().end());
+  auto weight = [slot](const Member& member) {
+    return StableHash(member.life(), slot + 1);
+  };
+  std::sort(members.begin(), members.end(),
+            [&weight](const Member& a, const Member& b) {
+              return weight(a) > weight(b);
+            });
+  return members;
+}
+
+std::vector<Placement> PlacementsOf(const std::vector<Roster>& rosters,
+                                    uint32_t slot) {
+  std::vector<Placement> placements;
+  for (const Roster& roster : rosters) {
+    std::vector<Member> copies = CopiesOf(roster, slot);
+    if (!placements.empty() && SameLives(placements.back().copies, copies)) {
+      continue;
+    }
+    placements.push_back(Placement{roster.epoch(), std::move(copies)});
+  }
+  std::reverse(placements.begin(), placements.end());
+  return placements;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/net/http_server.cc
@@ -0,0 +1,202 @@
+// Handlers run on CivetWeb's worker threads. Responses are written with one
+// write each, headers and body together, so that a small answer is one packet.
+
+#include "net/http_server.h"
+
+#include <civetweb.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <mutex>
+
+#include "leverwick/result.h"
+#include "net/json.h"
+
+namespace leverwick {
+namespace {
+
+// What a request line and its headers weigh, about; only for accounting.
+constexpr uint64_t kHeaderBytes = 120;
+constexpr size_t kReadBytes = 16384;
+
+void InitLibrary() {
+  static std::once_flag once;
+  std::call_once(once, [] { mg_init_library(0); });
+}
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+HttpRequest MakeRequest(const mg_request_info& info) {
+  HttpRequest request;
+  request.method = info.request_method;
+  request.path = info.local_uri != nullptr ? info.local_uri : "";
+  request.query = info.query_string != nullptr ? info.query_string : "";
+  for (int i = 0; i < info.num_headers; ++i) {
+    const mg_header& header = info.http_headers[i];
+    request.headers[LowerCase(header.name)] = header.value;
+  }
+  return request;
+}
+
+std::string Head(int status, const HttpHeaders& headers) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
+                     mg_get_response_code_text(nullptr, status) + "\r\n";
+  for (const auto& header : headers) {
+    head += header.first + ": " + header.second + "\r\n";
+  }
+  return head;
+}
+
+void SendError(HttpResponder* responder, Result result) {
+  const ResultInfo& info = Info(result);
+  responder->Send(
+      info.http_status,
+      {{"Content-Type", "application/json"}, {"Connection", "close"}},
+      ErrorBody(static_cast<int>(result), info.name, info.message,
+                RunStateName(info.run_state), "", milliseconds(0)));
+}
+
+}  // namespace
+
+std::string ErrorBody(int code, const std::string& name,
+                      const std::string& message, const std::string& run_state,
+                      const std::string& request_id, milliseconds retry_after) {
+  Json::Value body;
+  Json::Value& error = body["error"];
+  error["code"] = code;
+  error["type"] = name;
+  error["message"] = message;
+  error["run_state"] = run_state;
+  if (!request_id.empty()) error["request_id"] = request_id;
+  if (retry_after.count() > 0) {
+    error["retry_after_ms"] = Json::Int64(retry_after.count());
+  }
+  return WriteJson(body);
+}
+
+std::string HttpRequest::Header(const std::string& name) const {
+  auto found = headers.find(name);
+  return found == headers.end() ? "" : found->second;
+}
+
+std::string HttpRequest::Parameter(const std::string& name) const {
+  char value[512];
+  int size =
+      mg_get_var(query.data(), query.size(), name.c_str(), value, sizeof value);
+  return size < 0 ? "" : std::string(value, static_cast<size_t>(size));
+}
+
+bool HttpResponder::WriteAll(const std::string& bytes) {
+  bytes_ += bytes.size();
+  return mg_write(connection_, bytes.data(), bytes.size()) ==
+         static_cast<int>(bytes.size());
+}
+
+bool HttpResponder::Send(int status, const HttpHeaders& headers,
+                         const std::string& body) {
+  started_ = true;
+  return WriteAll(Head(status, headers) + "Content-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+bool HttpResponder::StartStream(int status, const HttpHeaders& headers) {
+  started_ = true;
+  return WriteAll(Head(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+bool HttpResponder::Write(const std::string& part) {
+  if (part.empty()) return true;
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+  return WriteAll(size + part + "\r\n");
+}
+
+bool HttpResponder::EndStream() { return WriteAll("0\r\n\r\n"); }
+
+std::error_code HttpServer::Start(const HttpServerOptions& options,
+                                  Handler handler) {
+  InitLibrary();
+  options_ = options;
+  handler_ = std::move(handler);
+  std::string threads = std::to_string(options.threads);
+  std::string read_timeout = std::to_string(options.read_timeout.count());
+  std::string idle_timeout = std::to_string(options.idle_timeout.count());
+  const char* const settings[] = {"listening_ports",
+                                  options.address.c_str(),
+                                  "num_threads",
+                                  threads.c_str(),
+                                  "connection_queue",
+                                  "256",
+                                  "listen_backlog",
+                                  "1024",
+                                  "request_timeout_ms",
+                                  read_timeout.c_str(),
+                                  "enable_keep_alive",
+                                  "yes",
+                                  "keep_alive_timeout_ms",
+                                  idle_timeout.c_str(),
+                                  "tcp_nodelay",
+                                  "1",
+                                  nullptr};
+  mg_callbacks callbacks{};
+  callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
+  context_ = mg_start(&callbacks, this, const_cast<const char**>(settings));
+  if (context_ == nullptr) return Result::kUnreachable;
+  mg_set_request_handler(context_, "/", &HttpServer::OnRequest, this);
+  return {};
+}
+
+void HttpServer::Stop() {
+  if (context_ != nullptr) mg_stop(context_);
+  context_ = nullptr;
+}
+
+bool HttpServer::ReadBody(mg_connection* connection, HttpRequest* request,
+                          HttpResponder* responder) {
+  const mg_request_info& info = *mg_get_request_info(connection);
+  if (info.content_length > static_cast<long long>(options_.max_body_bytes)) {
+    SendError(responder, Result::kBodyTooLarge);
+    return false;
+  }
+  bool chunked = !request->Header("transfer-encoding").empty();
+  if (info.content_length <= 0 && !chunked) return true;
+  TimePoint begin = Clock::now();
+  char buffer[kReadBytes];
+  for (;;) {
+    int size = mg_read(connection, buffer, sizeof buffer);
+    if (size <= 0) break;
+    request->body.append(buffer, static_cast<size_t>(size));
+    if (request->body.size() > options_.max_body_bytes) {
+      SendError(responder, Result::kBodyTooLarge);
+      return false;
+    }
+    if (Clock::now() - begin > options_.read_timeout) break;
+    if (static_cast<long long>(request->body.size()) == info.content_length) {
+      return true;
+    }
+  }
+  if (info.content_length < 0) return true;
+  SendError(responder, Result::kBadRequest);
+  return false;
+}
+
+int HttpServer::OnRequest(mg_connection* connection, void* self) {
+  auto* server = static_cast<HttpServer*>(self);
+  HttpRequest request = MakeRequest(*mg_get_request_info(connection));
+  HttpResponder responder(connection);
+  if (server->ReadBody(connection, &request, &responder)) {
+    server->handler_(request, &responder);
+  }
+  server->bytes_ += request.body.size() + kHeaderBytes + responder.bytes();
+  constexpr int kHandled = 200;
+  return kHandled;
+}
+
+}  // namespace leverwick
