The thin whole path as separate processes

Cause: nothing could be shown end to end. Ruled out: one append a claim or a bill (about 100 appends a second are shared by all boxes); a home-made CSV reader (libcsv does it). Change: leverwickd with its parts (daemon/), leverwickctl, leverwick-load, stand-ins of the platform, model engine and plain service, sample table and scripts/quickstart. Nothing is proved under failure yet.

--- /dev/null
+++ b/daemon/bill_keeper.cc
@@ -0,0 +1,254 @@
+// The copies go to the first members that also get this box's heartbeats, so
+// those that judge a box's silence hold its open requests.
+//
+// Settling waits until a life is in no roster and not in the platform's list.
+// Both holders may settle the same life; the ledger keeps one line an id.
+
+#include "daemon/bill_keeper.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+
+#include "net/json.h"
+#include "net/log.h"
+
+namespace leverwick {
+namespace {
+
+const Log log_("bills");
+constexpr size_t kLinesPerAppend = 2000;
+constexpr milliseconds kSettlePause(500);
+// After this long an endpoint that can't be asked is given up on.
+constexpr Seconds kGiveUpAfter(30.0);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+}  // namespace
+
+CopyStream::CopyStream(Node* node, Member peer)
+    : node_(node), peer_(std::move(peer)) {
+  next_.set_life(node_->life);
+  thread_ = std::thread([this] { Run(); });
+}
+
+CopyStream::~CopyStream() {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    stopped_ = true;
+    changed_.notify_all();
+  }
+  thread_.join();
+}
+
+uint64_t CopyStream::Add(const IntentBatch& batch) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  next_.MergeFrom(batch);
+  next_.set_life(node_->life);
+  changed_.notify_all();
+  return next_number_;
+}
+
+bool CopyStream::Wait(uint64_t number) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait(lock, [&] { return stopped_ || answered_ >= number; });
+  return answered_ >= number && last_failed_ != number;
+}
+
+void CopyStream::Run() {
+  nanoseconds linger = FromProto(node_->settings.bills().linger());
+  std::unique_lock<std::mutex> lock(mutex_);
+  for (;;) {
+    changed_.wait(lock, [this] {
+      return stopped_ || next_.opened_size() > 0 || next_.billed_size() > 0 ||
+             next_.appended_size() > 0;
+    });
+    if (stopped_) return;
+    changed_.wait_for(lock, linger, [this] { return stopped_; });
+    IntentBatch batch;
+    batch.Swap(&next_);
+    uint64_t number = next_number_++;
+    lock.unlock();
+    Ack ack;
+    bool good = !node_->peers.Call(peer_, "CopyIntents", batch, &ack);
+    lock.lock();
+    answered_ = number;
+    if (!good) last_failed_ = number;
+    changed_.notify_all();
+  }
+}
+
+void BillKeeper::Start() {
+  appender_.Start(FromProto(node_->settings.bills().append_interval()),
+                  [this] { AppendStep(); });
+  settler_.Start(kSettlePause, [this] { SettleStep(); });
+}
+
+void BillKeeper::Stop() {
+  appender_.Stop();
+  settler_.Stop();
+  std::lock_guard<std::mutex> lock(mutex_);
+  streams_.clear();
+}
+
+std::vector<std::shared_ptr<CopyStream>> BillKeeper::Streams() {
+  std::vector<Member> targets = node_->membership.Targets();
+  auto copies = static_cast<size_t>(node_->settings.bills().copies());
+  if (targets.size() > copies) targets.resize(copies);
+  std::vector<std::shared_ptr<CopyStream>> streams;
+  std::vector<std::shared_ptr<CopyStream>> dropped;
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::map<std::string, std::shared_ptr<CopyStream>> kept;
+  for (const Member& target : targets) {
+    auto found = streams_.find(target.life());
+    kept[target.life()] = found != streams_.end()
+                              ? found->second
+                              : std::make_shared<CopyStream>(node_, target);
+    streams.push_back(kept[target.life()]);
+  }
+  streams_.swap(kept);
+  for (auto& entry : kept) dropped.push_back(entry.second);
+  return streams;
+}
+
+int BillKeeper::Open(const Intent& intent) {
+  IntentBatch batch;
+  *batch.add_opened() = intent;
+  std::vector<std::shared_ptr<CopyStream>> streams = Streams();
+  std::vector<uint64_t> numbers;
+  for (const auto& stream : streams) numbers.push_back(stream->Add(batch));
+  int copies = 0;
+  for (size_t i = 0; i < streams.size(); ++i) {
+    copies += streams[i]->Wait(numbers[i]) ? 1 : 0;
+  }
+  if (copies == 0) node_->metrics.Add("leverwick_uncopied_total", "", 1);
+  return copies;
+}
+
+void BillKeeper::Close(const BillLine& line) {
+  node_->bills.Add(line);
+  IntentBatch batch;
+  *batch.add_billed() = line;
+  for (const auto& stream : Streams()) stream->Add(batch);
+}
+
+std::error_code BillKeeper::Append(const std::string& life,
+                                   const std::vector<BillLine>& lines) {
+  BillRecord record;
+  record.set_life(life);
+  record.set_author_life(node_->life);
+  for (const BillLine& line : lines) *record.add_lines() = line;
+  uint64_t offset = 0;
+  return node_->platform.Append(kBillStream, MessageToJson(record), &offset);
+}
+
+void BillKeeper::AppendStep() {
+  std::lock_guard<std::mutex> lock(append_mutex_);
+  std::vector<BillLine> lines = node_->bills.Batch(kLinesPerAppend);
+  node_->metrics.Set("leverwick_bills_queued", "",
+                     static_cast<double>(node_->bills.size()));
+  if (lines.empty()) return;
+  std::error_code error = Append(node_->life, lines);
+  if (error) {
+    // Also when the answer was lost: the ledger drops what comes twice.
+    log_.Warning("Bills wait for the log.",
+                 {{"lines", std::to_string(lines.size())},
+                  {"code", std::to_string(error.value())}});
+    return;
+  }
+  node_->bills.Appended(lines.size());
+  IntentBatch batch;
+  for (const BillLine& line : lines) batch.add_appended(line.sequence());
+  for (const auto& stream : Streams()) stream->Add(batch);
+}
+
+bool BillKeeper::Flush() {
+  AppendStep();
+  if (node_->bills.size() == 0) return true;
+  IntentBatch batch;
+  for (const BillLine& line : node_->bills.Batch(node_->bills.size())) {
+    *batch.add_billed() = line;
+  }
+  bool held = false;
+  for (const auto& stream : Streams()) {
+    held = stream->Wait(stream->Add(batch)) || held;
+  }
+  return held;
+}
+
+bool BillKeeper::IsOver(const std::string& life) {
+  TimePoint now = Clock::now();
+  Roster roster = node_->CurrentRoster();
+  bool member =
+      std::any_of(roster.members().begin(), roster.members().end(),
+                  [&life](const Member& m) { return m.life() == life; });
+  if (member || !node_->membership.IsGone(life, now)) {
+    over_since_.erase(life);
+    return false;
+  }
+  TimePoint since = over_since_.emplace(life, now).first->second;
+  return now - since >= FromProto(node_->settings.bills().settle_after());
+}
+
+void BillKeeper::SettleStep() {
+  for (const std::string& life : node_->intents.lives()) {
+    if (!IsOver(life)) continue;
+    bool give_up = Clock::now() - over_since_[life] > kGiveUpAfter;
+    if (Settle(life, give_up)) over_since_.erase(life);
+  }
+}
+
+bool BillKeeper::Settle(const std::string& life, bool give_up) {
+  IntentBook::Held held = node_->intents.HeldOf(life);
+  std::vector<BillLine> lines = held.billed;
+  bool all = true;
+  for (const auto& entry : held.open) {
+    std::vector<DispatchState> states;
+    for (size_t i = 0; i < entry.second.size(); ++i) {
+      states.push_back(Ask(life, entry.second[i], i + 1));
+    }
+    BillLine line;
+    if (SettleLine(entry.first, entry.second, states, give_up, &line)) {
+      line.set_why("settled by " + node_->life);
+      lines.push_back(line);
+    } else {
+      all = false;
+    }
+  }
+  if (lines.empty() || Append(life, lines)) return false;
+  std::vector<uint64_t> sequences;
+  for (const BillLine& line : lines) sequences.push_back(line.sequence());
+  node_->intents.Settled(life, sequences);
+  log_.Info("Open requests settled.",
+            {{"life", life}, {"lines", std::to_string(lines.size())}});
+  node_->metrics.Add("leverwick_settled_total", "",
+                     static_cast<double>(lines.size()));
+  return all;
+}
+
+DispatchState BillKeeper::Ask(const std::string& life, const Intent& intent,
+                              size_t attempt) {
+  EndpointCall call;
+  call.method = "GET";
+  call.address = intent.endpoint();
+  call.path = "/v1/requests/" + RequestId(life, intent.sequence()) + "." +
+              std::to_string(attempt);
+  call.connect_timeout =
+      FromProto(node_->settings.requests().connect_timeout());
+  call.timeout = FromProto(node_->settings.peers().timeout());
+  EndpointAnswer answer = node_->endpoint_client.Call(call);
+  DispatchState state;
+  if (answer.kind != EndpointAnswer::kAnswered) return state;
+  Json::Value value;
+  if (answer.status == kNotFound) {
+    state.state = DispatchState::kNeverSeen;
+  } else if (answer.status == kOk && ReadJson(answer.body, &value)) {
+    bool finished = value["state"].asString() == "finished";
+    state.state = finished ? DispatchState::kFinished : DispatchState::kRunning;
+    state.prompt_tokens = value["prompt_tokens"].asInt64();
+    state.completion_tokens = value["completion_tokens"].asInt64();
+  }
+  return state;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/daemon/node.h
@@ -0,0 +1,94 @@
+// What the parts of one daemon share: its settings, its decisions' state and
+// its clients. Built once by NodeBuilder; every member is thread-safe.
+
+#ifndef DAEMON_NODE_H_
+#define DAEMON_NODE_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "daemon/peer_links.h"
+#include "leverwick/bills.h"
+#include "leverwick/claims.h"
+#include "leverwick/endpoints.h"
+#include "leverwick/estimates.h"
+#include "leverwick/freshness.h"
+#include "leverwick/guard.h"
+#include "leverwick/limiter.h"
+#include "leverwick/membership.h"
+#include "leverwick/planner.h"
+#include "leverwick/retry_budget.h"
+#include "leverwick/table.h"
+#include "net/endpoint_client.h"
+#include "net/metrics.h"
+#include "net/platform_client.h"
+#include "schema/settings.pb.h"
+
+namespace leverwick {
+
+struct Node {
+  Node(const DaemonSettings& settings_in, const std::string& life_in);
+
+  // The roster in force of this box's data centre; epoch 0 when there is none.
+  Roster CurrentRoster() const;
+
+  // Whether this box reads the log for its data centre.
+  bool IsReader() const;
+
+  // The member that reads the log for the data centre, unless it is this box.
+  // False when this box reads itself.
+  bool Reader(Member* reader) const;
+
+  Member self() const;
+
+  const DaemonSettings settings;
+  const std::string life;
+  TableHolder tables;
+  Freshness freshness;
+  Membership membership;
+  EndpointPool endpoints;
+  Estimates estimates;
+  Guard guard;
+  Limiter limiter;
+  Planner planner;
+  RetryBudget retries;
+  BillQueue bills;
+  IntentBook intents;
+  ClaimCopies claim_copies;
+  Metrics metrics;
+  PlatformClient platform;
+  EndpointClient endpoint_client;
+  PeerLinks peers;
+  std::atomic<bool> table_ready{false};
+  std::atomic<bool> list_ready{false};
+  std::atomic<bool> stopping{false};
+  std::atomic<int> in_progress{0};
+  std::atomic<uint64_t> next_sequence{1};
+};
+
+// Makes a Node with a fresh life.
+class NodeBuilder {
+ public:
+  NodeBuilder& Settings(const DaemonSettings& settings) {
+    settings_ = settings;
+    return *this;
+  }
+  // A life's name is the box's name and a random part, unless set here.
+  NodeBuilder& Life(const std::string& life) {
+    life_ = life;
+    return *this;
+  }
+  std::unique_ptr<Node> Build() const;
+
+ private:
+  DaemonSettings settings_;
+  std::string life_;
+};
+
+// `bytes` random bytes as lower-case hex.
+std::string RandomHex(size_t bytes);
+
+}  // namespace leverwick
+
+#endif  // DAEMON_NODE_H_
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -23,6 +23,8 @@
 constexpr Seconds kReportHalfLife(2.0);
 // An endpoint that said it leaves is not believed to be back before this.
 constexpr Seconds kLeavingMemory(60.0);
+// Older reports are not passed on.
+constexpr Seconds kNoteAge(1.5);
 
 TimePoint EjectedUntil(size_t failures, TimePoint now) {
   double doubled = kFirstEjection.count() *
@@ -41,7 +43,7 @@
 }
 
 template <typename Function>
-void EndpointPool::With(const std::string& address, Function function) {
+void EndpointPool::With(const std::string& address, Function function) const {
   std::string target = TargetOf(address);
   Shard& shard = ShardOf(target);
   std::lock_guard<std::mutex> lock(shard.mutex);
@@ -100,6 +102,28 @@
   });
 }
 
+void EndpointPool::ReadReport(const std::string& address,
+                              const LoadReport& report, TimePoint now) {
+  Reported(address, report, now);
+  With(address, [&report, now](Endpoint* endpoint) {
+    endpoint->read = report;
+    endpoint->read_at = now;
+  });
+}
+
+bool EndpointPool::NoteOf(const std::string& address, TimePoint now,
+                          EndpointNote* note) const {
+  bool recent = false;
+  With(address, [&](Endpoint* endpoint) {
+    recent = now - endpoint->read_at < kNoteAge;
+    note->set_address(address);
+    note->set_running(static_cast<uint32_t>(endpoint->read.running));
+    note->set_queued(static_cast<uint32_t>(endpoint->read.queued));
+    note->set_leaving(endpoint->leaving);
+  });
+  return recent;
+}
+
 bool EndpointPool::Usable(const Endpoint& endpoint) {
   return endpoint.in_list && !endpoint.leaving && !endpoint.listed.leaving;
 }
@@ -236,8 +260,7 @@
 
 size_t EndpointPool::OwnRequests(const std::string& address) const {
   size_t own = 0;
-  const_cast<EndpointPool*>(this)->With(
-      address, [&own](Endpoint* endpoint) { own = endpoint->own; });
+  With(address, [&own](Endpoint* endpoint) { own = endpoint->own; });
   return own;
 }
 
--- a/leverwick/endpoints.h
+++ b/leverwick/endpoints.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "leverwick/time.h"
+#include "schema/peer.pb.h"
 
 namespace leverwick {
 
@@ -80,6 +81,15 @@
   // Places of a target's usable endpoints.
   size_t Places(const std::string& target, TimePoint now) const;
 
+  // What to tell peers of an endpoint: this box's newest report of it. False
+  // when it has none that is recent.
+  bool NoteOf(const std::string& address, TimePoint now,
+              EndpointNote* note) const;
+
+  // A report this box read itself, which NoteOf passes on.
+  void ReadReport(const std::string& address, const LoadReport& report,
+                  TimePoint now);
+
   std::vector<std::string> addresses() const;
   std::string TargetOf(const std::string& address) const;
   size_t OwnRequests(const std::string& address) const;
@@ -91,6 +101,8 @@
     size_t own = 0;
     double others = 0;  // others' requests at the report
     TimePoint reported{};
+    LoadReport read;  // by this box, passed on to peers
+    TimePoint read_at{};
     bool leaving = false;  // by its own word
     TimePoint leaving_since{};
     size_t failures = 0;  // in a row
@@ -105,7 +117,7 @@
 
   Shard& ShardOf(const std::string& target) const;
   template <typename Function>
-  void With(const std::string& address, Function function);
+  void With(const std::string& address, Function function) const;
   static bool Usable(const Endpoint& endpoint);
   static double LoadOf(const Endpoint& endpoint, TimePoint now);
   static std::vector<const Endpoint*> Candidates(
