--- a/leverwick/claims.cc
+++ b/leverwick/claims.cc
@@ -54,6 +54,7 @@
   if (copy.installed_epoch < request.for_epoch()) return reply;
   // Installed later than asked: it holds all the asked epoch held, and more.
   reply.set_have(SealReply::COMPLETE);
+  reply.set_doubtful_until_ms(copy.doubtful_until_ms);
   for (const auto& entry : copy.claims) *reply.add_claims() = entry.second;
   return reply;
 }
@@ -67,6 +68,8 @@
   if (epoch > copy.installed_epoch) copy.claims.clear();
   copy.installed_epoch = epoch;
   copy.sealed_epoch = epoch;
+  copy.doubtful_until_ms =
+      std::max(copy.doubtful_until_ms, request.doubtful_until_ms());
   for (Claim claim : request.claims()) {
     claim.set_change(0);
     copy.claims.emplace(claim.key(), claim);
@@ -185,21 +188,24 @@
   const Placement& placement = placements.front();
   if (state->active_epoch == placement.epoch) return true;
   SlotRef ref = RefOf(slot, placement.epoch);
-  std::vector<Claim> claims;
+  SealReply held;
   for (size_t i = 1; i < placements.size(); ++i) {
-    Read read = ReadOld(ref, placements[i], &claims);
+    Read read = ReadOld(ref, placements[i], &held);
     if (read == Read::kUnreachable) return false;
-    if (read == Read::kLost) state->doubtful_until = now + options_.window;
+    if (read == Read::kLost) {
+      held.set_doubtful_until_ms(ToMs(now + options_.window));
+    }
     if (read != Read::kNeverActive) break;
   }
-  if (!InstallAll(ref, placement, claims)) return false;
+  if (!InstallAll(ref, placement, held)) return false;
+  state->doubtful_until = WallTime(milliseconds(held.doubtful_until_ms()));
   state->active_epoch = placement.epoch;
   state->last_change = 0;
   return true;
 }
 
 ClaimOwner::Read ClaimOwner::ReadOld(const SlotRef& slot, const Placement& old,
-                                     std::vector<Claim>* claims) {
+                                     SealReply* held) {
   SealRequest request;
   *request.mutable_slot() = slot;
   request.set_for_epoch(old.epoch);
@@ -211,17 +217,18 @@
       continue;
     }
     if (reply.have() == SealReply::NOTHING) return Read::kNeverActive;
-    claims->assign(reply.claims().begin(), reply.claims().end());
+    *held = reply;
     return Read::kComplete;
   }
   return all_gone ? Read::kLost : Read::kUnreachable;
 }
 
 bool ClaimOwner::InstallAll(const SlotRef& slot, const Placement& placement,
-                            const std::vector<Claim>& claims) {
+                            const SealReply& held) {
   InstallRequest request;
   *request.mutable_slot() = slot;
-  for (const Claim& claim : claims) *request.add_claims() = claim;
+  *request.mutable_claims() = held.claims();
+  request.set_doubtful_until_ms(held.doubtful_until_ms());
   for (const Member& member : placement.copies) {
     if (!InstallAt(member, request)) return false;
   }
--- a/leverwick/claims.h
+++ b/leverwick/claims.h
@@ -65,6 +65,7 @@
     mutable std::mutex mutex;
     uint64_t installed_epoch = 0;
     uint64_t sealed_epoch = 0;  // epochs below this are refused
+    int64_t doubtful_until_ms = 0;
     std::map<std::string, Claim> claims;
   };
 
@@ -119,8 +120,10 @@
   struct Slot {
     std::mutex mutex;
     uint64_t active_epoch = 0;
-    uint64_t last_change = 0;   // of the puts of this epoch
-    WallTime doubtful_until{};  // every copy was lost: earlier keys unknown
+    uint64_t last_change = 0;  // of the puts of this epoch
+    // Until then keys may have been claimed on copies that were all lost. The
+    // copies carry it on, for the next owner must know it too.
+    WallTime doubtful_until{};
   };
 
   Slot& SlotAt(uint32_t slot);
@@ -129,10 +132,9 @@
   bool Activate(uint32_t slot, const std::vector<Placement>& placements,
                 Slot* state, WallTime now);
   enum class Read { kComplete, kNeverActive, kUnreachable, kLost };
-  Read ReadOld(const SlotRef& slot, const Placement& old,
-               std::vector<Claim>* claims);
+  Read ReadOld(const SlotRef& slot, const Placement& old, SealReply* held);
   bool InstallAll(const SlotRef& slot, const Placement& placement,
-                  const std::vector<Claim>& claims);
+                  const SealReply& held);
   bool PutAll(const SlotRef& slot, const Placement& placement,
               const Claim& claim, Slot* state);
   ClaimReply Grant(const SlotRef& slot, const Placement& placement,
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -64,32 +64,34 @@
 
 void EndpointPool::SetListed(const std::vector<ListedEndpoint>& endpoints,
                              TimePoint now) {
+  std::map<std::string, std::string> by_address;
   for (Shard& shard : shards_) {
+    // A shard changes under one lock: a request must never see it half listed.
     std::lock_guard<std::mutex> lock(shard.mutex);
     for (auto& target : shard.targets) {
       for (auto& entry : target.second) entry.second.in_list = false;
     }
-  }
-  for (const ListedEndpoint& listed : endpoints) {
-    Shard& shard = ShardOf(listed.target);
-    std::lock_guard<std::mutex> lock(shard.mutex);
-    Merge(listed, now, &shard.targets[listed.target][listed.address]);
-  }
-  std::map<std::string, std::string> by_address;
-  for (Shard& shard : shards_) {
-    std::lock_guard<std::mutex> lock(shard.mutex);
-    for (auto& target : shard.targets) {
-      for (auto entry = target.second.begin(); entry != target.second.end();) {
-        bool keep = entry->second.in_list || entry->second.own > 0;
-        if (keep) by_address[entry->first] = target.first;
-        entry = keep ? std::next(entry) : target.second.erase(entry);
-      }
+    for (const ListedEndpoint& listed : endpoints) {
+      if (&ShardOf(listed.target) != &shard) continue;
+      Merge(listed, now, &shard.targets[listed.target][listed.address]);
     }
+    Prune(&shard, &by_address);
   }
   std::lock_guard<std::mutex> lock(address_mutex_);
   target_by_address_ = std::move(by_address);
 }
 
+void EndpointPool::Prune(Shard* shard,
+                         std::map<std::string, std::string>* by_address) {
+  for (auto& target : shard->targets) {
+    for (auto entry = target.second.begin(); entry != target.second.end();) {
+      bool keep = entry->second.in_list || entry->second.own > 0;
+      if (keep) (*by_address)[entry->first] = target.first;
+      entry = keep ? std::next(entry) : target.second.erase(entry);
+    }
+  }
+}
+
 void EndpointPool::Reported(const std::string& address,
                             const LoadReport& report, TimePoint now) {
   With(address, [&report, now](Endpoint* endpoint) {
--- a/leverwick/endpoints.h
+++ b/leverwick/endpoints.h
@@ -118,6 +118,9 @@
   Shard& ShardOf(const std::string& target) const;
   template <typename Function>
   void With(const std::string& address, Function function) const;
+  // Drops what is neither listed nor in use; adds the rest to `by_address`.
+  static void Prune(Shard* shard,
+                    std::map<std::string, std::string>* by_address);
   static bool Usable(const Endpoint& endpoint);
   static double LoadOf(const Endpoint& endpoint, TimePoint now);
   static std::vector<const Endpoint*> Candidates(
--- /dev/null
+++ b/leverwick/testing/bills_test.cc
@@ -0,0 +1,134 @@
+#include "leverwick/bills.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+
+namespace leverwick {
+namespace {
+
+BillLine Line(uint64_t sequence, BillLine::Outcome outcome) {
+  BillLine line;
+  line.set_sequence(sequence);
+  line.set_outcome(outcome);
+  line.set_organisation("acme");
+  return line;
+}
+
+TEST_CASE("request ids are read back") {
+  std::string life;
+  uint64_t sequence = 0;
+  CHECK(ParseRequestId(RequestId("box-1.a", 17), &life, &sequence));
+  CHECK(life == "box-1.a");
+  CHECK(sequence == 17);
+  CHECK(!ParseRequestId("nodot", &life, &sequence));
+  CHECK(!ParseRequestId("a.b", &life, &sequence));
+  CHECK(!ParseRequestId(".1", &life, &sequence));
+}
+
+TEST_CASE("the ledger keeps one line an id, and a void settles nothing") {
+  Ledger ledger;
+  BillRecord record;
+  record.set_life("a");
+  *record.add_lines() = Line(1, BillLine::VOID);
+  *record.add_lines() = Line(1, BillLine::ANSWERED);
+  *record.add_lines() = Line(1, BillLine::UNKNOWN);
+  ledger.Read(record);
+  CHECK(ledger.lines().at("a.1").outcome() == BillLine::ANSWERED);
+  CHECK(ledger.repeated() == 1);
+  ledger.Read(record);
+  CHECK(ledger.lines().size() == 1);
+  CHECK(ledger.lines().at("a.1").outcome() == BillLine::ANSWERED);
+}
+
+TEST_CASE("any repeats of records give the same ids, each billed once") {
+  CHECK(rc::check("ledger", [](const std::vector<uint8_t>& order) {
+    Ledger ledger;
+    std::set<std::string> billed;
+    for (uint8_t number : order) {
+      BillRecord record;
+      record.set_life("life" + std::to_string(number % 3));
+      auto outcome = number % 5 == 0 ? BillLine::VOID : BillLine::ANSWERED;
+      *record.add_lines() = Line(number / 8, outcome);
+      ledger.Read(record);
+      if (outcome != BillLine::VOID) {
+        billed.insert(RequestId(record.life(), number / 8));
+      }
+    }
+    size_t counted = 0;
+    for (const auto& line : ledger.lines()) {
+      counted += line.second.outcome() != BillLine::VOID ? 1u : 0u;
+    }
+    RC_ASSERT(counted == billed.size());
+  }));
+}
+
+TEST_CASE("the queue keeps lines until the log has them") {
+  BillQueue queue(3);
+  for (uint64_t i = 1; i <= 3; ++i) queue.Add(Line(i, BillLine::ANSWERED));
+  CHECK(queue.full());
+  CHECK(queue.Batch(2).size() == 2);
+  CHECK(queue.size() == 3);
+  queue.Appended(2);
+  CHECK(!queue.full());
+  CHECK(queue.Batch(10).front().sequence() == 3);
+}
+
+Intent MakeIntent(uint64_t sequence) {
+  Intent intent;
+  intent.set_sequence(sequence);
+  intent.set_organisation("acme");
+  intent.set_endpoint("127.0.0.1:1");
+  return intent;
+}
+
+TEST_CASE("the intent book takes messages in any order") {
+  IntentBook book;
+  IntentBatch open;
+  open.set_life("a");
+  *open.add_opened() = MakeIntent(1);
+  *open.add_opened() = MakeIntent(2);
+  IntentBatch billed;
+  billed.set_life("a");
+  *billed.add_billed() = Line(1, BillLine::ANSWERED);
+  book.Take(billed);
+  book.Take(open);
+  IntentBook::Held held = book.HeldOf("a");
+  CHECK(held.open.size() == 1);
+  CHECK(held.open.count(2) == 1);
+  CHECK(held.billed.size() == 1);
+  book.Settled("a", {1, 2});
+  CHECK(book.size() == 0);
+  CHECK(book.lives().empty());
+}
+
+DispatchState StateOf(DispatchState::State state) {
+  DispatchState out;
+  out.state = state;
+  out.completion_tokens = 5;
+  return out;
+}
+
+TEST_CASE("a lost request is settled by what its endpoints say") {
+  std::vector<Intent> two = {MakeIntent(1), MakeIntent(1)};
+  using S = DispatchState;
+  BillLine line;
+  auto settle = [&](S::State a, S::State b, bool give_up) {
+    return SettleLine(1, two, {StateOf(a), StateOf(b)}, give_up, &line);
+  };
+  CHECK(settle(S::kNeverSeen, S::kNeverSeen, false));
+  CHECK(line.outcome() == BillLine::VOID);
+  CHECK(settle(S::kNeverSeen, S::kFinished, false));
+  CHECK(line.outcome() == BillLine::FAILED);
+  CHECK(line.legs_size() == 1);
+  CHECK(!settle(S::kFinished, S::kRunning, false));
+  CHECK(!settle(S::kUnreachable, S::kFinished, false));
+  CHECK(settle(S::kUnreachable, S::kFinished, true));
+  CHECK(line.outcome() == BillLine::UNKNOWN);
+  CHECK(line.legs_size() == 2);
+}
+
+}  // namespace
+}  // namespace leverwick
--- /dev/null
+++ b/leverwick/testing/membership_test.cc
@@ -0,0 +1,170 @@
+#include "leverwick/membership.h"
+
+#include <doctest/doctest.h>
+
+#include "leverwick/freshness.h"
+#include "leverwick/slots.h"
+#include "leverwick/testing/table_builder.h"
+
+namespace leverwick {
+namespace {
+
+TimePoint At(double seconds) {
+  return TimePoint() + FromSeconds(1e6 + seconds);
+}
+
+Roster MakeRoster(uint64_t epoch, const std::vector<std::string>& lives) {
+  Roster roster;
+  roster.set_data_centre("dc1");
+  roster.set_epoch(epoch);
+  for (const std::string& life : lives) {
+    Member* member = roster.add_members();
+    member->set_life(life);
+    member->set_address(life + ":1");
+  }
+  return roster;
+}
+
+MembershipOptions OptionsOf(const std::string& life) {
+  MembershipOptions options;
+  options.self.set_life(life);
+  options.self.set_address(life + ":1");
+  options.data_centre = "dc1";
+  options.dead_after = std::chrono::seconds(3);
+  return options;
+}
+
+std::vector<std::string> LivesOf(const std::optional<RosterChange>& change) {
+  std::vector<std::string> lives;
+  if (!change.has_value()) return lives;
+  for (const Member& member : change->members()) {
+    lives.push_back(member.life());
+  }
+  return lives;
+}
+
+TEST_CASE("a box proposes itself, and takes a silent one out") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(Roster(), At(0));
+  CHECK(LivesOf(membership.Propose(false, At(0))) ==
+        std::vector<std::string>{"a"});
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(0.1));
+  CHECK(!membership.Propose(false, At(0.1)).has_value());
+  Member b = MakeRoster(1, {"b"}).members(0);
+  for (int i = 1; i < 40; ++i) {
+    membership.Tick(MakeRoster(1, {"a", "b"}), At(0.1 + i * 0.1));
+    if (i < 10) membership.Heard(b, 1, false, At(0.1 + i * 0.1));
+  }
+  CHECK(!membership.Propose(false, At(4.0)).has_value());
+  CHECK(LivesOf(membership.Propose(false, At(4.1))) ==
+        std::vector<std::string>{"a"});
+}
+
+TEST_CASE("a box that was paused does not take the others for dead") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(0));
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(60));
+  CHECK(!membership.Propose(false, At(60)).has_value());
+}
+
+TEST_CASE("a stopping box proposes to go") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(0));
+  CHECK(LivesOf(membership.Propose(true, At(0))) ==
+        std::vector<std::string>{"b"});
+}
+
+TEST_CASE("a box that was taken out waits before it comes back") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(0));
+  membership.Tick(MakeRoster(2, {"b"}), At(0.1));
+  CHECK(!membership.Propose(false, At(0.2)).has_value());
+  membership.Tick(MakeRoster(2, {"b"}), At(1.5));
+  membership.Heard(MakeRoster(2, {"b"}).members(0), 2, false, At(3.0));
+  CHECK(LivesOf(membership.Propose(false, At(3.2))).size() == 2);
+}
+
+TEST_CASE("a life is gone only when the list, read since, lacks it") {
+  Membership membership(OptionsOf("a"));
+  membership.Listed({"a", "b"}, At(0));
+  CHECK(!membership.IsGone("b", At(1)));
+  CHECK(!membership.IsGone("b", At(10)));  // the list is not read any more
+  membership.Listed({"a"}, At(10));
+  CHECK(membership.IsGone("b", At(10)));
+  CHECK(!membership.IsGone("a", At(10)));
+}
+
+TEST_CASE("the roster is settled once every member has applied it") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(MakeRoster(7, {"a", "b", "c"}), At(0));
+  membership.Heard(MakeRoster(7, {"b"}).members(0), 9, false, At(0));
+  CHECK(!membership.Settled());
+  membership.HeardOf(LifeHash("c"), 6);
+  CHECK(!membership.Settled());
+  membership.HeardOf(LifeHash("c"), 7);
+  CHECK(membership.Settled());
+}
+
+TEST_CASE("heartbeats go to a few members, and everyone is watched") {
+  std::vector<std::string> lives;
+  for (int i = 0; i < 26; ++i) lives.push_back("box" + std::to_string(i));
+  std::map<std::string, int> watchers;
+  for (const std::string& life : lives) {
+    Membership membership(OptionsOf(life));
+    membership.Tick(MakeRoster(1, lives), At(0));
+    std::vector<Member> targets = membership.Targets();
+    CHECK(targets.size() == 4);
+    for (const Member& target : targets) ++watchers[target.life()];
+  }
+  for (const std::string& life : lives) CHECK(watchers[life] == 4);
+}
+
+TEST_CASE("few slots move when a box joins") {
+  Roster before = MakeRoster(1, {"a", "b", "c", "d", "e", "f"});
+  Roster after = MakeRoster(2, {"a", "b", "c", "d", "e", "f", "g"});
+  int moved = 0;
+  constexpr uint32_t kSlots = 700;
+  for (uint32_t slot = 0; slot < kSlots; ++slot) {
+    Member owner = RankMembers(after, slot).front();
+    if (owner.life() == RankMembers(before, slot).front().life()) continue;
+    CHECK(owner.life() == "g");
+    ++moved;
+  }
+  CHECK(moved > 60);
+  CHECK(moved < 140);
+}
+
+TEST_CASE("equal placements in a row are one") {
+  std::vector<Roster> rosters = {
+      MakeRoster(1, {"a"}), MakeRoster(5, {"a", "b"}),
+      MakeRoster(9, {"a", "b"}), MakeRoster(12, {"b"})};
+  std::vector<Placement> placements = PlacementsOf(rosters, 3);
+  REQUIRE(placements.size() == 3);
+  CHECK(placements[0].epoch == 12);
+  CHECK(placements[1].epoch == 5);
+  CHECK(placements[2].epoch == 1);
+}
+
+TEST_CASE("freshness tells paused from cut off from behind") {
+  Freshness freshness({std::chrono::seconds(4), std::chrono::seconds(6)});
+  CHECK(freshness.At(At(0)) == Freshness::kPaused);
+  freshness.Read(true, 10, At(0));
+  CHECK(freshness.At(At(1)) == Freshness::kFresh);
+  CHECK(freshness.At(At(5)) == Freshness::kPaused);
+  freshness.Read(false, 10, At(5));
+  CHECK(freshness.At(At(5)) == Freshness::kFresh);
+  freshness.Read(false, 10, At(7));
+  CHECK(freshness.At(At(7)) == Freshness::kCutOff);
+  freshness.Read(true, 10, At(8));
+  CHECK(freshness.At(At(8)) == Freshness::kFresh);
+  freshness.Heard(12, At(8));
+  CHECK(freshness.At(At(9)) == Freshness::kFresh);
+  freshness.Read(true, 11, At(13));
+  freshness.Heard(13, At(13));
+  CHECK(freshness.At(At(13)) == Freshness::kBehind);
+  freshness.Read(true, 13, At(13.5));
+  CHECK(freshness.At(At(13.5)) == Freshness::kFresh);
+}
+
+}  // namespace
+}  // namespace leverwick
--- /dev/null
+++ b/leverwick/testing/table_test.cc
@@ -0,0 +1,199 @@
+#include "leverwick/table.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "leverwick/testing/table_builder.h"
+
+namespace leverwick {
+namespace {
+
+Result CodeOf(const Table::Verdict& verdict) { return ResultOf(verdict.error); }
+
+TEST_CASE("of two edits based on the same revision the first wins") {
+  TableBuilder site = TableBuilder::Site();
+  Table& table = site.table();
+  Cells base = {{"name", "acme"}, {"home", "dc1"}, {"weight", "2"}};
+  ConfigRecord first = TableBuilder::EditOf(table, "organisation", base);
+  base[2].second = "3";
+  ConfigRecord second = TableBuilder::EditOf(table, "organisation", base);
+  CHECK(!table.Apply(site.offset(), first).error);
+  CHECK(CodeOf(table.Apply(site.offset() + 1, second)) ==
+        Result::kStaleRevision);
+  CHECK(table.FindOrganisation("acme")->weight() == 2);
+}
+
+TEST_CASE("a record appended twice is accepted once") {
+  TableBuilder site = TableBuilder::Site();
+  Table& table = site.table();
+  ConfigRecord record = TableBuilder::EditOf(
+      table, "service", {{"name", "receipts"}, {"repeatable", "true"}});
+  CHECK(!table.Apply(site.offset(), record).error);
+  CHECK(CodeOf(table.Apply(site.offset() + 1, record)) ==
+        Result::kStaleRevision);
+}
+
+TEST_CASE("an old record can't bring a removed row back") {
+  TableBuilder site = TableBuilder::Site();
+  Table& table = site.table();
+  ConfigRecord create =
+      TableBuilder::EditOf(table, "service", {{"name", "receipts"}});
+  CHECK(!table.Apply(site.offset(), create).error);
+  ConfigRecord remove = create;
+  RowEdit* edit = remove.mutable_edit()->mutable_rows(0);
+  edit->clear_row();
+  edit->set_base_revision(table.FindRow("service", "receipts")->revision());
+  CHECK(!table.Apply(site.offset() + 1, remove).error);
+  CHECK(table.FindService("receipts") == nullptr);
+  CHECK(CodeOf(table.Apply(site.offset() + 2, create)) ==
+        Result::kStaleRevision);
+  CHECK(table.FindService("receipts") == nullptr);
+}
+
+TEST_CASE("rows of one edit are accepted together or not at all") {
+  TableBuilder site = TableBuilder::Site();
+  Table& table = site.table();
+  ConfigRecord record =
+      TableBuilder::EditOf(table, "service", {{"name", "good"}});
+  ConfigRecord bad = TableBuilder::EditOf(
+      table, "organisation", {{"name", "initech"}, {"home", "nowhere"}});
+  *record.mutable_edit()->add_rows() = bad.edit().rows(0);
+  CHECK(CodeOf(table.Apply(site.offset(), record)) ==
+        Result::kUnknownReference);
+  CHECK(table.FindService("good") == nullptr);
+}
+
+TEST_CASE("rules of rows are kept") {
+  TableBuilder site = TableBuilder::Site();
+  auto code = [&site](const std::string& kind, const Cells& cells) {
+    return CodeOf(site.Add(kind, cells).last());
+  };
+  CHECK(code("organisation", {{"name", "acme"}, {"home", "dc2"}}) ==
+        Result::kImmutableCell);
+  CHECK(code("organisation",
+             {{"name", "x"}, {"home", "dc1"}, {"quality_target", "1.5"}}) ==
+        Result::kInvalidRow);
+  CHECK(code("organisation", {{"name", ""}, {"home", "dc1"}}) ==
+        Result::kInvalidRow);
+  CHECK(code("signing_key", {{"name", "k"}, {"secret", "short"}}) ==
+        Result::kInvalidRow);
+  CHECK(code("rollout", {{"name", "r"},
+                         {"model", "swift"},
+                         {"from_version", "1"},
+                         {"to_version", "2"},
+                         {"steps", "0.5;0.1"}}) == Result::kInvalidRow);
+  CHECK(code("rollout", {{"name", "r"},
+                         {"model", "swift"},
+                         {"from_version", "1"},
+                         {"to_version", "9"},
+                         {"steps", "0.1;0.5"}}) == Result::kUnknownReference);
+}
+
+TEST_CASE("roll-outs go one step at a time and a trip is for good") {
+  TableBuilder site = TableBuilder::Site();
+  site.Add("rollout", {{"name", "r"},
+                       {"model", "swift"},
+                       {"from_version", "1"},
+                       {"to_version", "2"},
+                       {"steps", "0.1;0.5;1"}});
+  Table& table = site.table();
+  uint64_t offset = site.offset();
+  auto advance = [&](int step) {
+    ConfigRecord record;
+    record.mutable_advance()->set_rollout("r");
+    record.mutable_advance()->set_step(step);
+    return CodeOf(table.Apply(offset++, record));
+  };
+  CHECK(advance(2) == Result::kStepOutOfOrder);
+  CHECK(advance(1) == Result::kOk);
+  CHECK(advance(1) == Result::kStepOutOfOrder);
+  ConfigRecord trip;
+  trip.mutable_trip()->set_rollout("r");
+  CHECK(!table.Apply(offset++, trip).error);
+  CHECK(advance(2) == Result::kRolloutStopped);
+  CHECK(CodeOf(table.Apply(offset++, trip)) == Result::kRolloutStopped);
+  CHECK(table.ProgressOf("r").tripped());
+}
+
+TEST_CASE("of two roster changes with the same base the first wins") {
+  TableBuilder site = TableBuilder::Site();
+  site.AddRoster("dc1", {"a"});
+  CHECK(!site.last().error);
+  ConfigRecord stale;
+  stale.mutable_roster()->set_data_centre("dc1");
+  CHECK(CodeOf(site.table().Apply(site.offset(), stale)) ==
+        Result::kStaleRoster);
+}
+
+// A random edit of a small world, often with an old revision.
+ConfigRecord RandomRecord(const Table& table, std::mt19937* random) {
+  auto pick = [random](int n) { return static_cast<int>((*random)() % n); };
+  std::string name = "org" + std::to_string(pick(3));
+  ConfigRecord record =
+      TableBuilder::EditOf(table, "organisation",
+                           {{"name", name},
+                            {"home", pick(10) == 0 ? "nowhere" : "dc1"},
+                            {"weight", std::to_string(pick(2000))}});
+  RowEdit* edit = record.mutable_edit()->mutable_rows(0);
+  if (pick(3) == 0) edit->set_base_revision(static_cast<uint64_t>(pick(40)));
+  if (pick(6) == 0) edit->clear_row();
+  return record;
+}
+
+// The rule in its plainest form: revision and range, nothing else.
+struct NaiveTable {
+  std::map<std::string, std::pair<uint64_t, double>> rows;  // weight; -1 none
+
+  bool Apply(uint64_t offset, const RowEdit& edit) {
+    auto found = rows.find(edit.key());
+    uint64_t revision = found == rows.end() ? 0 : found->second.first;
+    if (revision != edit.base_revision()) return false;
+    const Organisation& row = edit.row().organisation();
+    bool valid =
+        row.weight() >= 0.01 && row.weight() <= 1000 && row.home() == "dc1";
+    if (edit.has_row() && !valid) return false;
+    rows[edit.key()] = {offset + 1, edit.has_row() ? row.weight() : -1};
+    return true;
+  }
+};
+
+TEST_CASE("the reducer agrees with the naive one, and with itself elsewhere") {
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    TableBuilder site;
+    site.Add("data_centre", {{"name", "dc1"}});
+    Table& table = site.table();
+    NaiveTable naive;
+    Table elsewhere(table.ToState());
+    for (uint64_t offset = 1; offset < 120; ++offset) {
+      ConfigRecord record = RandomRecord(table, &random);
+      bool accepted = !table.Apply(offset, record).error;
+      REQUIRE(accepted == naive.Apply(offset, record.edit().rows(0)));
+      REQUIRE(accepted == !elsewhere.Apply(offset, record).error);
+      // Another box starts from a snapshot at any moment.
+      if (random() % 10 == 0) elsewhere = Table(table.ToState());
+    }
+    REQUIRE(table.ToState().SerializeAsString() ==
+            elsewhere.ToState().SerializeAsString());
+    for (const auto& row : naive.rows) {
+      const Organisation* organisation = table.FindOrganisation(row.first);
+      REQUIRE((organisation != nullptr) == (row.second.second >= 0));
+      if (organisation != nullptr) {
+        REQUIRE(organisation->weight() == row.second.second);
+      }
+    }
+  }
+}
+
+TEST_CASE("records below the applied offset change nothing") {
+  TableBuilder site = TableBuilder::Site();
+  std::string before = site.table().ToState().SerializeAsString();
+  ConfigRecord record =
+      TableBuilder::EditOf(site.table(), "service", {{"name", "late"}});
+  site.table().Apply(0, record);
+  CHECK(site.table().ToState().SerializeAsString() == before);
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/scenario/checks.cc
+++ b/scenario/checks.cc
@@ -301,7 +301,7 @@
       return box.as<std::string>() + " does not answer";
     }
     bool ready = status["ready"].asBool() && status["slots_active"].asBool() &&
-                 status["endpoints"].asInt() > 0;
+                 status["endpoints"].asInt() >= world_->EnginesIn(status);
     if (!ready) return box.as<std::string>() + " is not ready";
   }
   return "";
--- a/scenario/world.cc
+++ b/scenario/world.cc
@@ -223,6 +223,16 @@
   return !result.error && ReadJson(result.body, status);
 }
 
+int World::EnginesIn(const Json::Value& status) const {
+  int count = 0;
+  for (const YAML::Node& engine : scenario_["engines"]) {
+    bool here = engine["data_centre"].as<std::string>() ==
+                status["data_centre"].asString();
+    count += here ? 1 : 0;
+  }
+  return count;
+}
+
 EditOutcome World::EditRow(const YAML::Node& row) {
   EditOutcome outcome;
   Table table;
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -61,6 +61,9 @@
   // GET /status of a box; null when it doesn't answer.
   bool Status(const std::string& box, Json::Value* status) const;
 
+  // How many engines the scenario has in the data centre of a box's status.
+  int EnginesIn(const Json::Value& status) const;
+
   // Applies one row of the scenario's table; tells why it could not.
   EditOutcome EditRow(const YAML::Node& row);
 
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -66,7 +66,7 @@
     bool cancelled = false;
     bool poor = false;
     int64_t started_ms = 0;
-    std::string tag;           // the prompt or body, to tell runs apart
+    std::string tag;  // the prompt or body, to tell runs apart
   };
   struct Faults {
     double error_share = 0;  // started, then failed
