--- a/daemon/gateway_chat.cc
+++ b/daemon/gateway_chat.cc
@@ -265,9 +265,8 @@
   if (!outcome.ok()) return Refuse(exchange, outcome);
   double expected =
       static_cast<double>(chat.prompt_tokens) +
-      node_->estimates.CompletionTokens(
-          *choice.first, exchange->request_class,
-          static_cast<double>(std::max<int64_t>(1, chat.max_tokens)));
+      node_->estimates.OutlookOf(*choice.first, exchange->request_class)
+          .completion_tokens;
   outcome = TakeLimit(exchange, expected);
   if (!outcome.ok()) return Refuse(exchange, outcome);
   if (!ClaimKeyOf(exchange)) return;
--- a/daemon/sse.cc
+++ b/daemon/sse.cc
@@ -1,46 +1,43 @@
 // Events end with an empty line; only "data:" lines count, comments are
-// skipped.
+// skipped. A text without quotes, backslashes and control characters stands in
+// JSON as it is, so it can be cut out between the known bytes around it.
 
 #include "daemon/sse.h"
 
 #include <json/json.h>
 
+#include <algorithm>
+
 #include "net/json.h"
 
 namespace leverwick {
 namespace {
 
-constexpr char kEnd[] = "\n\n";
-constexpr char kData[] = "data:";
+constexpr std::string_view kEnd = "\n\n";
+constexpr std::string_view kData = "data:";
 // An engine's event is a few hundred bytes; more is not one.
 constexpr size_t kLargestEvent = 1 << 20;
 
-}  // namespace
+bool IsPlain(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), [](unsigned char c) {
+    return c < ' ' || c == '"' || c == '\\';
+  });
+}
 
-bool SseReader::Add(const char* data, size_t size,
-                    std::vector<ChatChunk>* chunks) {
-  pending_.append(data, size);
-  size_t begin = 0;
-  for (;;) {
-    size_t end = pending_.find(kEnd, begin);
-    if (end == std::string::npos) break;
-    ChatChunk chunk;
-    std::string event = pending_.substr(begin, end - begin);
-    begin = end + 2;
-    if (event.empty() || event[0] == ':') continue;
-    if (!Parse(event, &chunk)) return false;
-    chunks->push_back(std::move(chunk));
-  }
-  pending_.erase(0, begin);
-  return pending_.size() <= kLargestEvent;
+bool StartsWith(std::string_view text, std::string_view start) {
+  return text.substr(0, start.size()) == start;
+}
+
+bool EndsWith(std::string_view text, std::string_view end) {
+  return text.size() >= end.size() &&
+         text.substr(text.size() - end.size()) == end;
 }
 
-bool SseReader::Parse(const std::string& event, ChatChunk* chunk) {
-  if (event.rfind(kData, 0) != 0) return false;
-  size_t begin = event.find_first_not_of(' ', sizeof kData - 1);
-  if (begin == std::string::npos) return false;
-  chunk->data = event.substr(begin);
-  chunk->done = chunk->data == "[DONE]";
+}  // namespace
+
+bool ParseChunk(std::string_view data, ChatChunk* chunk) {
+  chunk->data = std::string(data);
+  chunk->done = data == "[DONE]";
   if (chunk->done) return true;
   Json::Value value;
   if (!ReadJson(chunk->data, &value) || !value.isObject()) return false;
@@ -58,4 +55,62 @@
   return true;
 }
 
+bool SseReader::Add(const char* data, size_t size,
+                    std::vector<ChatChunk>* chunks) {
+  pending_.append(data, size);
+  std::string_view rest = pending_;
+  for (;;) {
+    size_t end = rest.find(kEnd);
+    if (end == std::string_view::npos) break;
+    std::string_view event = rest.substr(0, end);
+    rest.remove_prefix(end + kEnd.size());
+    if (event.empty() || event[0] == ':') continue;
+    chunks->emplace_back();
+    if (!Parse(event, &chunks->back())) return false;
+  }
+  pending_.erase(0, pending_.size() - rest.size());
+  return pending_.size() <= kLargestEvent;
+}
+
+bool SseReader::Parse(std::string_view event, ChatChunk* chunk) {
+  if (!StartsWith(event, kData)) return false;
+  size_t begin = event.find_first_not_of(' ', kData.size());
+  if (begin == std::string_view::npos) return false;
+  std::string_view data = event.substr(begin);
+  if (ParseLikeLast(data, chunk)) return true;
+  if (!ParseChunk(data, chunk)) return false;
+  Learn(*chunk);
+  return true;
+}
+
+bool SseReader::ParseLikeLast(std::string_view data, ChatChunk* chunk) const {
+  size_t around = before_.size() + after_.size();
+  bool alike = !before_.empty() && data.size() > around &&
+               StartsWith(data, before_) && EndsWith(data, after_);
+  if (!alike) return false;
+  std::string_view text = data.substr(before_.size(), data.size() - around);
+  if (!IsPlain(text)) return false;
+  chunk->data = std::string(data);
+  chunk->id = id_;
+  chunk->content = std::string(text);
+  return true;
+}
+
+void SseReader::Learn(const ChatChunk& chunk) {
+  before_.clear();
+  bool plain = !chunk.content.empty() && IsPlain(chunk.content) &&
+               !chunk.finished && !chunk.has_usage;
+  std::string quoted = "\"content\":\"" + chunk.content + "\"";
+  size_t at = chunk.data.find(quoted);
+  // Twice the same words: which of them is the text can't be told.
+  if (!plain || at == std::string::npos ||
+      chunk.data.find(quoted, at + 1) != std::string::npos) {
+    return;
+  }
+  size_t text_at = at + quoted.size() - 1 - chunk.content.size();
+  before_ = chunk.data.substr(0, text_at);
+  after_ = chunk.data.substr(text_at + chunk.content.size());
+  id_ = chunk.id;
+}
+
 }  // namespace leverwick
--- a/leverwick/estimates.cc
+++ b/leverwick/estimates.cc
@@ -15,6 +15,7 @@
 constexpr double kPriorRatings = 8;
 constexpr double kPriorAnswers = 20;
 constexpr double kPriorWeakShare = 0.3;
+constexpr double kPriorCompletion = 200;   // tokens
 constexpr double kShortestLatency = 1e-4;  // seconds
 // Other lives kept; the ones with the fewest answers go first.
 constexpr size_t kMostLives = 64;
@@ -184,36 +185,24 @@
   return view;
 }
 
-double Estimates::Quality(const Version& version,
-                          uint32_t request_class) const {
-  VersionView view = View(KeyOf(version), request_class);
-  double quality = WithPrior(view.rating_mean * view.ratings, view.ratings,
-                             version.prior_quality(), kPriorRatings);
-  // An answer that failed is worth nothing to its caller.
-  return quality * (1 - Mean(view.errors, view.answers));
-}
-
-double Estimates::ConfidentQuality(const Version& version,
-                                   uint32_t request_class) const {
-  VersionView view = View(KeyOf(version), request_class);
-  return WithPrior(view.confident_rating_mean * view.confident_ratings,
-                   view.confident_ratings, version.prior_quality(),
-                   kPriorRatings);
-}
-
-double Estimates::WeakShare(const Version& version,
-                            uint32_t request_class) const {
-  VersionView view = View(KeyOf(version), request_class);
-  return WithPrior(view.weak, view.answers - view.errors, kPriorWeakShare,
-                   kPriorAnswers);
-}
-
-double Estimates::CompletionTokens(const Version& version,
-                                   uint32_t request_class, double prior) const {
+Outlook Estimates::OutlookOf(const Version& version,
+                             uint32_t request_class) const {
   VersionView view = View(KeyOf(version), request_class);
   double good = view.answers - view.errors;
-  return WithPrior(view.completion_tokens_mean * good, good, prior,
-                   kPriorAnswers);
+  double prior = version.prior_quality();
+  Outlook outlook;
+  outlook.ratings = view.ratings;
+  outlook.quality = WithPrior(view.rating_mean * view.ratings, view.ratings,
+                              prior, kPriorRatings) *
+                    (1 - Mean(view.errors, view.answers));
+  outlook.confident_quality =
+      WithPrior(view.confident_rating_mean * view.confident_ratings,
+                view.confident_ratings, prior, kPriorRatings);
+  outlook.weak_share =
+      WithPrior(view.weak, good, kPriorWeakShare, kPriorAnswers);
+  outlook.completion_tokens = WithPrior(view.completion_tokens_mean * good,
+                                        good, kPriorCompletion, kPriorAnswers);
+  return outlook;
 }
 
 }  // namespace leverwick
--- a/leverwick/estimates.h
+++ b/leverwick/estimates.h
@@ -9,7 +9,7 @@
 //   Estimates estimates("box-a1-7f", max_lives);
 //   estimates.Answered(version_key, request_class, observation);
 //   estimates.Rated(version_key, request_class, confident, 0.8);
-//   double quality = estimates.Quality(version, request_class);
+//   Outlook outlook = estimates.OutlookOf(version, request_class);
 
 #ifndef LEVERWICK_ESTIMATES_H_
 #define LEVERWICK_ESTIMATES_H_
@@ -49,6 +49,15 @@
   double completion_tokens_mean = 0;
 };
 
+// What to expect of one answer.
+struct Outlook {
+  double quality = 0;            // rating, 0 for answers that fail
+  double confident_quality = 0;  // rating of answers that are not weak
+  double weak_share = 0;         // of unary answers
+  double completion_tokens = 0;
+  double ratings = 0;  // that this rests on
+};
+
 // Thread-safe.
 class Estimates {
  public:
@@ -72,18 +81,9 @@
   VersionView View(const std::string& version_key,
                    uint32_t request_class) const;
 
-  // Expected rating: the prior counts as kPriorRatings ratings.
-  double Quality(const Version& version, uint32_t request_class) const;
-
-  // Expected rating of answers that are not weak.
-  double ConfidentQuality(const Version& version, uint32_t request_class) const;
-
-  // Share of unary answers that are weak; the prior is 0.3.
-  double WeakShare(const Version& version, uint32_t request_class) const;
-
-  // Expected generated tokens; `prior` until answers came.
-  double CompletionTokens(const Version& version, uint32_t request_class,
-                          double prior) const;
+  // What to expect of a version's next answer; priors count as some
+  // observations, so that the first ones don't swing it.
+  Outlook OutlookOf(const Version& version, uint32_t request_class) const;
 
  private:
   using Key = std::pair<std::string, uint32_t>;
--- a/leverwick/planner.cc
+++ b/leverwick/planner.cc
@@ -17,7 +17,6 @@
 constexpr int64_t kShortPrompt = 200;    // tokens
 constexpr int64_t kMediumPrompt = 2000;  // tokens
 constexpr uint32_t kTaskClasses = 8;
-constexpr double kPriorCompletion = 200;  // tokens
 constexpr double kPerMillion = 1e-6;
 constexpr double kPriceStep = 0.05;
 constexpr double kLeastPrice = 1e-3;
@@ -51,90 +50,89 @@
   return LengthClass(prompt_tokens) + 3 * (streamed ? 1u : 0u) + 6 * task_class;
 }
 
-Plan Planner::Single(const PlanRequest& request, const Version* version) const {
-  double completion = estimates_->CompletionTokens(
-      *version, request.request_class, kPriorCompletion);
-  if (request.max_tokens > 0) {
-    completion = std::min(completion, static_cast<double>(request.max_tokens));
+std::vector<Planner::Option> Planner::Options(
+    const PlanRequest& request,
+    const std::vector<const Version*>& candidates) const {
+  std::vector<Option> options;
+  for (const Version* version : candidates) {
+    Outlook outlook = estimates_->OutlookOf(*version, request.request_class);
+    double completion = outlook.completion_tokens;
+    if (request.max_tokens > 0) {
+      completion =
+          std::min(completion, static_cast<double>(request.max_tokens));
+    }
+    double cost = kPerMillion * (static_cast<double>(request.prompt_tokens) *
+                                     version->prompt_price() +
+                                 completion * version->completion_price());
+    options.push_back(Option{version, outlook, cost});
   }
+  return options;
+}
+
+Plan Planner::Single(const Option& option) {
   Plan plan;
-  plan.first = version;
-  plan.expected_cost =
-      kPerMillion *
-      (static_cast<double>(request.prompt_tokens) * version->prompt_price() +
-       completion * version->completion_price());
-  plan.expected_quality = estimates_->Quality(*version, request.request_class);
+  plan.first = option.version;
+  plan.expected_cost = option.cost;
+  plan.expected_quality = option.outlook.quality;
   return plan;
 }
 
-Plan Planner::Cascade(const PlanRequest& request, const Plan& first,
-                      const Plan& better) const {
-  double weak = estimates_->WeakShare(*first.first, request.request_class);
-  double confident =
-      estimates_->ConfidentQuality(*first.first, request.request_class);
+Plan Planner::Cascade(const Option& first, const Option& better) {
+  double weak = first.outlook.weak_share;
   Plan plan;
-  plan.first = first.first;
-  plan.better = better.first;
-  plan.expected_cost = first.expected_cost + weak * better.expected_cost;
-  plan.expected_quality =
-      (1 - weak) * confident + weak * better.expected_quality;
+  plan.first = first.version;
+  plan.better = better.version;
+  plan.expected_cost = first.cost + weak * better.cost;
+  plan.expected_quality = (1 - weak) * first.outlook.confident_quality +
+                          weak * better.outlook.quality;
   return plan;
 }
 
-std::vector<Plan> Planner::Plans(
-    const PlanRequest& request,
-    const std::vector<const Version*>& candidates) const {
-  std::vector<Plan> singles;
-  for (const Version* version : candidates) {
-    singles.push_back(Single(request, version));
-  }
-  std::vector<Plan> plans = singles;
+std::vector<Plan> Planner::Plans(const PlanRequest& request,
+                                 const std::vector<Option>& options) {
+  std::vector<Plan> plans;
+  for (const Option& option : options) plans.push_back(Single(option));
   if (request.streamed) return plans;
-  for (const Plan& first : singles) {
-    for (const Plan& better : singles) {
-      if (better.expected_quality <= first.expected_quality) continue;
-      if (better.expected_cost <= first.expected_cost) continue;
-      plans.push_back(Cascade(request, first, better));
+  for (const Option& first : options) {
+    for (const Option& better : options) {
+      if (better.outlook.quality <= first.outlook.quality) continue;
+      if (better.cost <= first.cost) continue;
+      plans.push_back(Cascade(first, better));
     }
   }
   return plans;
 }
 
-const Plan* Planner::Explore(const PlanRequest& request,
-                             const std::vector<Plan>& plans) const {
+const Planner::Option* Planner::Explore(const PlanRequest& request,
+                                        const std::vector<Option>& options) {
   if (request.draw >= request.organisation->exploration()) return nullptr;
-  const Plan* least_known = nullptr;
+  const Option* least_known = nullptr;
   double fewest = kKnownRatings;
-  for (const Plan& plan : plans) {
-    if (plan.better != nullptr) continue;
-    double ratings =
-        estimates_
-            ->View(VersionKey(plan.first->model(), plan.first->version()),
-                   request.request_class)
-            .ratings;
-    if (ratings >= fewest) continue;
-    least_known = &plan;
-    fewest = ratings;
+  for (const Option& option : options) {
+    if (option.outlook.ratings >= fewest) continue;
+    least_known = &option;
+    fewest = option.outlook.ratings;
   }
   return least_known;
 }
 
 Plan Planner::Choose(const PlanRequest& request,
                      const std::vector<const Version*>& candidates) {
-  std::vector<Plan> plans = Plans(request, candidates);
-  if (plans.empty()) return Plan();
+  std::vector<Option> options = Options(request, candidates);
+  if (options.empty()) return Plan();
+  std::vector<Plan> plans = Plans(request, options);
   const std::string& name = request.organisation->name();
   Shard& shard = shards_[StableHash(name) % kShards];
   std::lock_guard<std::mutex> lock(shard.mutex);
   Price& price = shard.prices[name];
   if (price.cost_scale == 0) price.cost_scale = plans[0].expected_cost + 1e-12;
-  const Plan* explored = Explore(request, plans);
+  const Option* explored = Explore(request, options);
   auto score = [&price](const Plan& plan) {
     return plan.expected_cost / price.cost_scale -
            price.quality * plan.expected_quality;
   };
   Plan chosen = explored != nullptr
-                    ? *explored
+                    ? Single(*explored)
                     : *std::min_element(plans.begin(), plans.end(),
                                         [&score](const Plan& a, const Plan& b) {
                                           return score(a) < score(b);
--- a/leverwick/planner.h
+++ b/leverwick/planner.h
@@ -69,13 +69,22 @@
   };
   static constexpr size_t kShards = 16;
 
-  Plan Single(const PlanRequest& request, const Version* version) const;
-  Plan Cascade(const PlanRequest& request, const Plan& first,
-               const Plan& better) const;
-  std::vector<Plan> Plans(const PlanRequest& request,
-                          const std::vector<const Version*>& candidates) const;
-  const Plan* Explore(const PlanRequest& request,
-                      const std::vector<Plan>& plans) const;
+  // One version with what is expected of it for a request.
+  struct Option {
+    const Version* version;
+    Outlook outlook;
+    double cost;
+  };
+
+  std::vector<Option> Options(
+      const PlanRequest& request,
+      const std::vector<const Version*>& candidates) const;
+  static Plan Single(const Option& option);
+  static Plan Cascade(const Option& first, const Option& better);
+  static std::vector<Plan> Plans(const PlanRequest& request,
+                                 const std::vector<Option>& options);
+  static const Option* Explore(const PlanRequest& request,
+                               const std::vector<Option>& options);
 
   const Estimates* const estimates_;
   std::array<Shard, kShards> shards_;
--- a/net/json.cc
+++ b/net/json.cc
@@ -6,6 +6,7 @@
 #include <json/json.h>
 
 #include <memory>
+#include <sstream>
 
 namespace leverwick {
 namespace {
@@ -30,13 +31,17 @@
 }  // namespace
 
 std::string WriteJson(const Json::Value& value) {
-  static const Json::StreamWriterBuilder builder = MakeWriterBuilder();
-  return Json::writeString(builder, value);
+  thread_local const std::unique_ptr<Json::StreamWriter> writer(
+      MakeWriterBuilder().newStreamWriter());
+  std::ostringstream text;
+  writer->write(value, &text);
+  return text.str();
 }
 
 bool ReadJson(const std::string& text, Json::Value* value) {
-  static const Json::CharReaderBuilder builder = MakeReaderBuilder();
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  // Making a reader costs more than reading a short text with it.
+  thread_local const std::unique_ptr<Json::CharReader> reader(
+      MakeReaderBuilder().newCharReader());
   std::string errors;
   try {
     return reader->parse(text.data(), text.data() + text.size(), value,
--- a/net/testing/http_test.cc
+++ b/net/testing/http_test.cc
@@ -221,5 +221,32 @@
   CHECK(!reader.Add("data: {oops\n\n", 13, &chunks));
 }
 
+TEST_CASE("chunks read in short are those read in full") {
+  const std::vector<std::string> texts = {
+      "a ",        "b",       "\\n", "\\u00e9", "caf\u00e9",
+      "\\\"q\\\"", "},{\\\"", "c ",  "content", "x"};
+  SseReader reader;
+  for (int round = 0; round < 20; ++round) {
+    for (size_t i = 0; i < texts.size(); ++i) {
+      bool last = i == 7;
+      std::string data =
+          "{\"choices\":[{\"delta\":{\"content\":\"" +
+          texts[(i + static_cast<size_t>(round)) % texts.size()] +
+          "\"},\"finish_reason\":" + (last ? "\"stop\"" : "null") +
+          "}],\"id\":\"r." + std::to_string(round / 5) + "\"}";
+      std::string event = "data: " + data + "\n\n";
+      std::vector<ChatChunk> chunks;
+      REQUIRE(reader.Add(event.data(), event.size(), &chunks));
+      ChatChunk full;
+      REQUIRE(ParseChunk(data, &full));
+      REQUIRE(chunks.size() == 1);
+      CHECK(chunks[0].id == full.id);
+      CHECK(chunks[0].content == full.content);
+      CHECK(chunks[0].finished == full.finished);
+      CHECK(chunks[0].data == full.data);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace leverwick
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -17,6 +17,7 @@
 
 constexpr char kJson[] = "application/json";
 constexpr int64_t kCharactersPerToken = 4;
+constexpr milliseconds kResumePoll(2);
 
 const char* const kWords[] = {
     "the",    "tanker", "left",     "depot", "at",     "seven",  "with",
@@ -191,10 +192,14 @@
 }
 
 bool EngineStandIn::Wait(const std::string& id, nanoseconds time) {
-  std::unique_lock<std::mutex> lock(mutex_);
-  auto scaled =
-      std::chrono::duration_cast<nanoseconds>(time * faults_.slow_factor);
-  changed_.wait_for(lock, scaled, [&] { return runs_[id].cancelled; });
+  double slow_factor = 1;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    slow_factor = faults_.slow_factor;
+  }
+  std::this_thread::sleep_for(
+      std::chrono::duration_cast<nanoseconds>(time * slow_factor));
+  std::lock_guard<std::mutex> lock(mutex_);
   return !runs_[id].cancelled;
 }
 
@@ -228,10 +233,6 @@
     if (stream != nullptr && connected) {
       connected = stream->Write(Chunk(id, run, run.tokens - 1, false));
     }
-    {
-      std::lock_guard<std::mutex> lock(mutex_);
-      changed_.notify_all();
-    }
     if (!Wait(id, options_.token_time)) break;
   }
   return connected;
@@ -305,10 +306,11 @@
   responder->StartStream(200, {{"Content-Type", "text/event-stream"}});
   for (int64_t index = from;; ++index) {
     lock.lock();
-    changed_.wait(lock, [&] {
-      const Run& run = runs_[id];
-      return run.tokens > index || run.state == RunState::kFinished;
-    });
+    // Tokens notify nobody: a thousand streams would wake one another.
+    while (runs_[id].tokens <= index &&
+           runs_[id].state != RunState::kFinished) {
+      changed_.wait_for(lock, kResumePoll);
+    }
     Run run = runs_[id];
     lock.unlock();
     if (index >= run.tokens) {
