--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -61,7 +61,8 @@
     const Version* replaced = nullptr;  // by the roll-out
     bool has_pin = false;
     SessionPin pin;
-    std::string session;  // id told to the caller, or empty
+    std::string session;           // id told to the caller, or empty
+    double expected_quality = -1;  // of the plan; negative: none
   };
 
   void Chat(Exchange* exchange);
@@ -94,7 +95,7 @@
                    const Version& version) const;
   void Learn(const Exchange& exchange, const Version& version,
              const Choice& choice, const Outcome& outcome,
-             const LegAnswer& answer);
+             const LegAnswer& answer, bool is_final);
   HttpHeaders HeadersOf(const Exchange& exchange, const Choice& choice,
                         const Version& version) const;
 
--- a/daemon/gateway_chat.cc
+++ b/daemon/gateway_chat.cc
@@ -84,6 +84,7 @@
   Plan plan = node_->planner.Choose(request, live);
   choice->first = plan.first;
   choice->better = plan.better;
+  choice->expected_quality = plan.expected_quality;
   exchange->bill.set_why(plan.why);
   exchange->trace["why"] = plan.why;
   if (choice->has_pin || exchange->cut_off) return Outcome();
@@ -150,7 +151,7 @@
 
 void Gateway::Learn(const Exchange& exchange, const Version& version,
                     const Choice& choice, const Outcome& outcome,
-                    const LegAnswer& answer) {
+                    const LegAnswer& answer, bool is_final) {
   // Only what the version itself did wrong counts against it.
   bool failed = outcome.result == Result::kFailed ||
                 outcome.result == Result::kShortAnswer;
@@ -179,7 +180,10 @@
     about.rollout = choice.rollout->name();
     about.baseline_key = KeyOf(*choice.replaced);
   }
-  watcher_->Offer(exchange.id, answer.text, about);
+  about.organisation = exchange.organisation->name();
+  if (is_final) about.expected = choice.expected_quality;
+  watcher_->Offer(is_final ? exchange.id : exchange.id + ".weak", answer.text,
+                  about);
   node_->metrics.Observe("leverwick_first_token_seconds",
                          "target=\"" + KeyOf(version) + "\"",
                          answer.first_token.count());
@@ -190,15 +194,16 @@
   LegAnswer answer;
   Outcome outcome = dispatcher_.Unary(
       exchange, LegOf(*exchange, chat, *choice->first), &answer);
-  Learn(*exchange, *choice->first, *choice, outcome, answer);
+  bool weak = answer.confidence < node_->settings.requests().weak_answer();
+  bool again_wanted = weak && choice->better != nullptr;
+  Learn(*exchange, *choice->first, *choice, outcome, answer, !again_wanted);
   if (!outcome.ok()) return outcome;
   const Version* answered = choice->first;
-  bool weak = answer.confidence < node_->settings.requests().weak_answer();
-  if (weak && choice->better != nullptr) {
+  if (again_wanted) {
     LegAnswer second;
     Outcome again = dispatcher_.Unary(
         exchange, LegOf(*exchange, chat, *choice->better), &second);
-    Learn(*exchange, *choice->better, *choice, again, second);
+    Learn(*exchange, *choice->better, *choice, again, second, true);
     if (again.ok()) {
       answer = std::move(second);
       answered = choice->better;
@@ -226,7 +231,7 @@
   headers["Cache-Control"] = "no-store";
   Outcome outcome = dispatcher_.Stream(
       exchange, LegOf(*exchange, chat, *choice->first), headers, &answer);
-  Learn(*exchange, *choice->first, *choice, outcome, answer);
+  Learn(*exchange, *choice->first, *choice, outcome, answer, true);
   if (!outcome.ok()) return outcome;
   Bill(exchange, outcome);
   FinishClaim(exchange, outcome, kOk, "", "");
--- a/daemon/platform_watcher.cc
+++ b/daemon/platform_watcher.cc
@@ -212,6 +212,9 @@
   node_->metrics.Add("leverwick_ratings_total", "", 1);
   node_->estimates.Rated(about.version_key, about.request_class,
                          about.confident, result.rating);
+  if (about.expected >= 0) {
+    node_->planner.Rated(about.organisation, about.expected, result.rating);
+  }
   if (about.rollout.empty()) return;
   const Rollout* rollout = nullptr;
   std::shared_ptr<const Table> table = node_->tables.table();
--- a/daemon/platform_watcher.h
+++ b/daemon/platform_watcher.h
@@ -18,6 +18,8 @@
   std::string version_key;
   uint32_t request_class = 0;
   bool confident = true;
+  std::string organisation;
+  double expected = -1;      // of the plan; negative: not its final answer
   std::string rollout;       // whose guard weighs the rating; or empty
   std::string baseline_key;  // the version it is held against
 };
--- a/leverwick/planner.cc
+++ b/leverwick/planner.cc
@@ -18,12 +18,18 @@
 constexpr int64_t kMediumPrompt = 2000;  // tokens
 constexpr uint32_t kTaskClasses = 8;
 constexpr double kPerMillion = 1e-6;
-constexpr double kPriceStep = 0.05;
+// The price moves fast at first and settles.
+constexpr double kFirstStep = 1;
+constexpr double kLastStep = 0.05;
+constexpr double kSettling = 100;  // decisions
 constexpr double kLeastPrice = 1e-3;
 constexpr double kMostPrice = 1e3;
 constexpr double kCostMemory = 0.02;
 // Aim a little above, for the estimates are noisy.
-constexpr double kMargin = 0.005;
+constexpr double kMargin = 0.002;
+// Of the mean difference of expected and actual ratings, and its bound.
+constexpr double kExcessMemory = 0.01;
+constexpr double kMostExcess = 0.15;
 // A version counts as known after this many ratings of a class.
 constexpr double kKnownRatings = 30;
 
@@ -116,13 +122,26 @@
   return least_known;
 }
 
+Planner::Shard& Planner::ShardOf(const std::string& organisation) {
+  return shards_[StableHash(organisation) % kShards];
+}
+
+void Planner::Rated(const std::string& organisation, double expected,
+                    double rating) {
+  Shard& shard = ShardOf(organisation);
+  std::lock_guard<std::mutex> lock(shard.mutex);
+  Price& price = shard.prices[organisation];
+  price.excess += kExcessMemory * (expected - rating - price.excess);
+  price.excess = std::clamp(price.excess, -kMostExcess, kMostExcess);
+}
+
 Plan Planner::Choose(const PlanRequest& request,
                      const std::vector<const Version*>& candidates) {
   std::vector<Option> options = Options(request, candidates);
   if (options.empty()) return Plan();
   std::vector<Plan> plans = Plans(request, options);
   const std::string& name = request.organisation->name();
-  Shard& shard = shards_[StableHash(name) % kShards];
+  Shard& shard = ShardOf(name);
   std::lock_guard<std::mutex> lock(shard.mutex);
   Price& price = shard.prices[name];
   if (price.cost_scale == 0) price.cost_scale = plans[0].expected_cost + 1e-12;
@@ -140,9 +159,19 @@
   chosen.why = Describe(chosen) +
                (explored != nullptr ? ": to learn its quality"
                                     : ": cheapest expected to meet the target");
-  double lacking = request.organisation->quality_target() + kMargin -
-                   chosen.expected_quality;
-  price.quality = std::clamp(price.quality * std::exp(kPriceStep * lacking),
+  double lacking = request.organisation->quality_target() + kMargin +
+                   price.excess - chosen.expected_quality;
+  double step =
+      kLastStep + kFirstStep * kSettling / (kSettling + price.decisions);
+  price.decisions += 1;
+  // With the best plan taken already, a higher price would change nothing now
+  // and take long to come down again.
+  bool best =
+      std::none_of(plans.begin(), plans.end(), [&chosen](const Plan& plan) {
+        return plan.expected_quality > chosen.expected_quality;
+      });
+  if (best && lacking > 0) lacking = 0;
+  price.quality = std::clamp(price.quality * std::exp(step * lacking),
                              kLeastPrice, kMostPrice);
   price.cost_scale += kCostMemory * (chosen.expected_cost - price.cost_scale);
   return chosen;
--- a/leverwick/planner.h
+++ b/leverwick/planner.h
@@ -7,10 +7,12 @@
 // It takes the plan with the least cost - price * rating, where the
 // organisation's price of quality rises while the ratings expected of what was
 // chosen lie under the target and falls while they lie above. So cheap
-// versions take the classes they do well, and the strong ones the rest.
+// versions take the classes they do well, and the strong ones the rest. The
+// ratings that do come correct an expectation that is off as a whole.
 //
 //   Planner planner(&estimates);
 //   Plan plan = planner.Choose(request, candidates);
+//   planner.Rated("acme", plan.expected_quality, rating);  // perhaps, later
 
 #ifndef LEVERWICK_PLANNER_H_
 #define LEVERWICK_PLANNER_H_
@@ -58,10 +60,15 @@
   Plan Choose(const PlanRequest& request,
               const std::vector<const Version*>& candidates);
 
+  // A rating came of an answer whose plan expected `expected`.
+  void Rated(const std::string& organisation, double expected, double rating);
+
  private:
   struct Price {
     double quality = 1;  // cost units a rating of 1 is worth
     double cost_scale = 0;
+    double decisions = 0;
+    double excess = 0;  // mean of expected less actual rating
   };
   struct Shard {
     std::mutex mutex;
@@ -86,6 +93,8 @@
   static const Option* Explore(const PlanRequest& request,
                                const std::vector<Option>& options);
 
+  Shard& ShardOf(const std::string& organisation);
+
   const Estimates* const estimates_;
   std::array<Shard, kShards> shards_;
 };
