A data centre whose boxes are all replaced learns its endpoints again

Change: readers read the whole list every twentieth time, and after a change of their own, and answer boxes of other data centres from it.

--- a/daemon/platform_watcher.cc
+++ b/daemon/platform_watcher.cc
@@ -10,6 +10,8 @@
 
 #include <json/json.h>
 
+#include <algorithm>
+
 #include "leverwick/digest.h"
 #include "leverwick/slots.h"
 #include "net/json.h"
@@ -25,6 +27,9 @@
 constexpr size_t kMostOffers = 1000;
 constexpr size_t kMostRated = 20000;
 constexpr size_t kOffersPerStep = 200;
+// The whole list is only for boxes of another data centre that lost all their
+// peers at once; an old one is better than none.
+constexpr int kReadsPerWholeList = 20;
 constexpr int kOk = 200;
 
 void ToReply(const BoxList& list, ListReply* reply) {
@@ -108,6 +113,15 @@
     return;
   }
   TakeList(list, Clock::now());
+  if (--until_whole_ <= 0) ReadWholeList();
+}
+
+void PlatformWatcher::ReadWholeList() {
+  BoxList list;
+  if (node_->platform.ReadList("", &list)) return;
+  until_whole_ = kReadsPerWholeList;
+  std::lock_guard<std::mutex> lock(mutex_);
+  whole_list_ = std::move(list);
 }
 
 bool PlatformWatcher::ListFromReader() {
@@ -127,6 +141,7 @@
 bool PlatformWatcher::ListFrom(const Member& peer) {
   ListRequest request;
   request.set_known(list_version_);
+  request.set_data_centre(node_->settings.box().data_centre());
   ListReply reply;
   if (node_->peers.Call(peer, "List", request, &reply)) return false;
   TimePoint read = Clock::now() - milliseconds(reply.age_ms());
@@ -161,12 +176,24 @@
   std::lock_guard<std::mutex> lock(mutex_);
   list_ = list;
   list_read_ = read;
-  list_version_ = StableHash(whole.SerializeAsString());
+  uint64_t version = StableHash(whole.SerializeAsString());
+  // What changed here has likely changed elsewhere, at a start above all.
+  if (version != list_version_) until_whole_ = std::min(until_whole_, 1);
+  list_version_ = version;
 }
 
 bool PlatformWatcher::ServeList(const ListRequest& request, ListReply* reply) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (!node_->list_ready) return false;
+  if (request.data_centre() != node_->settings.box().data_centre()) {
+    BoxList theirs;
+    for (const ListedEndpoint& endpoint : whole_list_.endpoints) {
+      if (endpoint.data_centre != request.data_centre()) continue;
+      theirs.endpoints.push_back(endpoint);
+    }
+    ToReply(theirs, reply);
+    return true;
+  }
   reply->set_version(list_version_);
   auto age =
       std::chrono::duration_cast<milliseconds>(Clock::now() - list_read_);
--- a/daemon/platform_watcher.h
+++ b/daemon/platform_watcher.h
@@ -53,6 +53,7 @@
   bool ListFrom(const Member& peer);
   bool ListFromSeeds();
   void TakeList(const BoxList& list, TimePoint read);
+  void ReadWholeList();
   void LoadStep();
   void ReadLoad(const std::string& address);
   void RatingStep();
@@ -69,6 +70,8 @@
   std::mutex mutex_;
   BoxList list_;
   uint64_t list_version_ = 0;
+  BoxList whole_list_;   // of all data centres, on readers
+  int until_whole_ = 0;  // reads of the list until the whole one is due
   TimePoint list_read_{};
   std::deque<OfferedAnswer> offers_;
   std::map<std::string, RatedAnswer> rated_;  // by request id
