Read as a newcomer: times as std::chrono, stand-ins' and programs' common parts once

Cause: epoch milliseconds as integers in four headers; the stand-ins' replies, the programs' signal handling and a bench's table builder stood twice; the planned stop's second bound was hard to read. Change: WallTime and SinceEpoch in leverwick/time.h; standin/reply.h, app/stop_signal.h; the bench uses the tests' builder; bills and roster get five seconds of their own after the requests. Conclusion: no change of behaviour but the last.

--- a/app/leverwickd.cc
+++ b/app/leverwickd.cc
@@ -7,11 +7,10 @@
 // Exit codes: 0 a planned stop that cut nothing, 1 it could not start, 2 the
 // settings are not valid, 3 the stop cut requests at its bound.
 
-#include <signal.h>
-
 #include <CLI/CLI.hpp>
 #include <iostream>
 
+#include "app/stop_signal.h"
 #include "daemon/daemon.h"
 #include "net/log.h"
 #include "net/settings.h"
@@ -29,22 +28,12 @@
   bool reference = false;
 };
 
-void BlockStopSignals(sigset_t* signals) {
-  sigemptyset(signals);
-  sigaddset(signals, SIGTERM);
-  sigaddset(signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
-}
-
 int Serve(const leverwick::DaemonSettings& settings) {
-  sigset_t signals;
-  BlockStopSignals(&signals);
+  sigset_t signals = leverwick::BlockStopSignals();
   leverwick::StartLogging(settings.log());
   leverwick::Daemon daemon(settings);
   if (daemon.Start()) return kCantStart;
-  int received = 0;
-  sigwait(&signals, &received);
+  leverwick::WaitForStop(signals);
   return daemon.Stop() == 0 ? 0 : kCutRequests;
 }
 
--- a/app/standin_engine.cc
+++ b/app/standin_engine.cc
@@ -1,11 +1,12 @@
 // Runs the stand-in of a model engine or plain service until SIGTERM, and
 // announces it to the platform.
 
-#include <signal.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <thread>
 
+#include "app/stop_signal.h"
 #include "net/http_client.h"
 #include "standin/engine.h"
 
@@ -54,12 +55,7 @@
   app.add_option("--checks-fence", options.checks_fence,
                  "Whether orders of an old fence are refused.");
   CLI11_PARSE(app, argc, argv);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
+  sigset_t signals = leverwick::BlockStopSignals();
   options.token_time = leverwick::FromSeconds(token_ms / 1000);
   options.first_token_time = leverwick::FromSeconds(first_token_ms / 1000);
   about.target = options.target;
--- a/app/standin_platform.cc
+++ b/app/standin_platform.cc
@@ -1,9 +1,10 @@
 // Runs the platform's stand-in until SIGTERM.
 
-#include <signal.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 
+#include "app/stop_signal.h"
 #include "standin/platform.h"
 
 int main(int argc, char** argv) {
@@ -20,12 +21,7 @@
   app.add_option("--list-expiry-ms", list_expiry_ms,
                  "Time after which a silent box leaves the list.");
   CLI11_PARSE(app, argc, argv);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
+  sigset_t signals = leverwick::BlockStopSignals();
   leverwick::PlatformStandInOptions options;
   options.appends_per_second = appends;
   options.rated_share = rated_share;
@@ -44,7 +40,6 @@
                    })) {
     return 1;
   }
-  int received = 0;
-  sigwait(&signals, &received);
+  leverwick::WaitForStop(signals);
   _exit(0);  // long polls and hanging handlers are not waited for
 }
--- a/bench/choose.cc
+++ b/bench/choose.cc
@@ -11,9 +11,9 @@
 #include "leverwick/digest.h"
 #include "leverwick/endpoints.h"
 #include "leverwick/estimates.h"
-#include "leverwick/fields.h"
 #include "leverwick/planner.h"
 #include "leverwick/routing.h"
+#include "leverwick/testing/table_builder.h"
 
 namespace leverwick {
 namespace {
@@ -23,41 +23,24 @@
 constexpr int kDecisions = 20000;
 constexpr int kRounds = 5;
 
-void AddRow(Table* table, uint64_t* offset, const std::string& kind,
-            const std::vector<std::pair<std::string, std::string>>& cells) {
-  ConfigRecord record;
-  RowEdit* edit = record.mutable_edit()->add_rows();
-  auto* message = MakeRow(kind, edit->mutable_row());
-  SetDefaults(message);
-  std::string why;
-  for (const auto& cell : cells) {
-    SetField(message, cell.first, cell.second, &why);
-  }
-  edit->set_kind(kind);
-  edit->set_key(RowKey(*message));
-  table->Apply((*offset)++, record);
-}
-
 struct Site {
   explicit Site(int organisations) : estimates("bench"), planner(&estimates) {
-    uint64_t offset = 0;
-    AddRow(&table, &offset, "data_centre", {{"name", "dc1"}});
+    builder.Add("data_centre", {{"name", "dc1"}});
     for (int i = 0; i < kVersions; ++i) {
-      AddRow(&table, &offset, "version",
-             {{"model", "m" + std::to_string(i)},
-              {"version", "1"},
-              {"prompt_price", std::to_string(1 + i)},
-              {"prior_quality", std::to_string(0.5 + 0.03 * i)}});
+      builder.Add("version",
+                  {{"model", "m" + std::to_string(i)},
+                   {"version", "1"},
+                   {"prompt_price", std::to_string(1 + i)},
+                   {"prior_quality", std::to_string(0.5 + 0.03 * i)}});
     }
     std::string allowed;
     for (int i = 0; i < kVersions; ++i) {
       allowed += (i > 0 ? ";m" : "m") + std::to_string(i);
     }
     for (int i = 0; i < organisations; ++i) {
-      AddRow(&table, &offset, "organisation",
-             {{"name", "o" + std::to_string(i)},
-              {"home", "dc1"},
-              {"allowed", allowed}});
+      builder.Add("organisation", {{"name", "o" + std::to_string(i)},
+                                   {"home", "dc1"},
+                                   {"allowed", allowed}});
       names.push_back("o" + std::to_string(i));
     }
     std::vector<ListedEndpoint> list;
@@ -114,7 +97,8 @@
         .address;
   }
 
-  Table table;
+  TableBuilder builder;
+  const Table& table = builder.table();
   Estimates estimates;
   Planner planner;
   EndpointPool endpoints;
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -13,6 +13,7 @@
 
 const Log log_("daemon");
 constexpr milliseconds kPoll(20);
+constexpr Seconds kHandOver(5.0);
 
 HttpServerOptions ServerOptions(const DaemonSettings& settings,
                                 const std::string& address, int threads) {
@@ -108,12 +109,9 @@
                {{"count", std::to_string(cut)}});
   }
   roster_.Stop();
-  // What a request may need at its end is done; the log may be out for long.
-  constexpr Seconds kHandOver(5.0);
-  HandOver(
-      std::max(bound, Clock::now()) < Clock::now() + FromSeconds(1)
-          ? Clock::now() + FromSeconds(1)
-          : std::min(bound, Clock::now() + FromSeconds(kHandOver.count())));
+  // Also after a bound that requests used up: bills and the roster need a
+  // moment, but the log may be out for long.
+  HandOver(Clock::now() + FromSeconds(kHandOver.count()));
   callers_.Stop();
   watcher_.Stop();
   bills_.Stop();
--- a/leverwick/claims.cc
+++ b/leverwick/claims.cc
@@ -22,11 +22,6 @@
   return WallTime(milliseconds(claim.made_at_ms()));
 }
 
-int64_t ToMs(WallTime time) {
-  return std::chrono::duration_cast<milliseconds>(time.time_since_epoch())
-      .count();
-}
-
 ClaimReply Refuse(Result result) {
   ClaimReply reply;
   reply.set_code(static_cast<int>(result));
@@ -54,7 +49,7 @@
   if (copy.installed_epoch < request.for_epoch()) return reply;
   // Installed later than asked: it holds all the asked epoch held, and more.
   reply.set_have(SealReply::COMPLETE);
-  reply.set_doubtful_until_ms(copy.doubtful_until_ms);
+  reply.set_doubtful_until_ms(SinceEpoch(copy.doubtful_until).count());
   for (const auto& entry : copy.claims) *reply.add_claims() = entry.second;
   return reply;
 }
@@ -68,8 +63,8 @@
   if (epoch > copy.installed_epoch) copy.claims.clear();
   copy.installed_epoch = epoch;
   copy.sealed_epoch = epoch;
-  copy.doubtful_until_ms =
-      std::max(copy.doubtful_until_ms, request.doubtful_until_ms());
+  copy.doubtful_until = std::max(
+      copy.doubtful_until, WallTime(milliseconds(request.doubtful_until_ms())));
   for (Claim claim : request.claims()) {
     claim.set_change(0);
     copy.claims.emplace(claim.key(), claim);
@@ -193,7 +188,7 @@
     Read read = ReadOld(ref, placements[i], &held);
     if (read == Read::kUnreachable) return false;
     if (read == Read::kLost) {
-      held.set_doubtful_until_ms(ToMs(now + options_.window));
+      held.set_doubtful_until_ms(SinceEpoch(now + options_.window).count());
     }
     if (read != Read::kNeverActive) break;
   }
@@ -260,7 +255,7 @@
   if (now < state->doubtful_until) return Refuse(Result::kKeyOutcomeUnknown);
   Claim made = wanted;
   made.set_state(Claim::RUNNING);
-  made.set_made_at_ms(ToMs(now));
+  made.set_made_at_ms(SinceEpoch(now).count());
   if (!PutAll(slot, placement, made, state)) {
     return Refuse(Result::kClaimsUnavailable);
   }
--- a/leverwick/claims.h
+++ b/leverwick/claims.h
@@ -34,9 +34,6 @@
 
 namespace leverwick {
 
-// Wall-clock time, only ever compared within a window of minutes.
-using WallTime = std::chrono::system_clock::time_point;
-
 // Stores copies of slots' claims. Thread-safe; one lock a slot.
 class ClaimCopies {
  public:
@@ -65,7 +62,7 @@
     mutable std::mutex mutex;
     uint64_t installed_epoch = 0;
     uint64_t sealed_epoch = 0;  // epochs below this are refused
-    int64_t doubtful_until_ms = 0;
+    WallTime doubtful_until{};
     std::map<std::string, Claim> claims;
   };
 
--- a/leverwick/time.h
+++ b/leverwick/time.h
@@ -14,6 +14,15 @@
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
+// Wall-clock time. Boxes' clocks differ: it is only ever compared within
+// windows of minutes.
+using WallTime = std::chrono::system_clock::time_point;
+
+// Time since 1970, as records and other sides' messages hold it.
+inline milliseconds SinceEpoch(WallTime time) {
+  return std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+}
+
 // Seconds with a fraction, for arithmetic.
 using Seconds = std::chrono::duration<double>;
 
--- a/scenario/checks.cc
+++ b/scenario/checks.cc
@@ -22,12 +22,6 @@
   return run_id.substr(0, run_id.rfind('.'));
 }
 
-int64_t NowMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::string Compare(const YAML::Node& arguments, const char* name, int found) {
   if (!arguments[name]) return "";
   int wanted = arguments[name].as<int>();
@@ -71,7 +65,9 @@
   return problems;
 }
 
-void Checks::Mark(const std::string& name) { marks_[name] = NowMs(); }
+void Checks::Mark(const std::string& name) {
+  marks_[name] = std::chrono::system_clock::now();
+}
 
 bool Checks::ReadRuns(std::vector<EngineRun>* runs) const {
   for (const std::string& engine : world_->engines()) {
@@ -81,9 +77,10 @@
     // A killed engine took its count with it.
     if (result.error || !ReadJson(result.body, &value)) continue;
     for (const Json::Value& run : value["runs"]) {
-      runs->push_back(EngineRun{engine, run["id"].asString(),
-                                run["tag"].asString(), run["times"].asInt(),
-                                run["started_ms"].asInt64()});
+      runs->push_back(
+          EngineRun{engine, run["id"].asString(), run["tag"].asString(),
+                    run["times"].asInt(),
+                    WallTime(milliseconds(run["started_ms"].asInt64()))});
     }
   }
   return true;
@@ -238,11 +235,13 @@
   std::vector<EngineRun> runs;
   if (!ReadRuns(&runs)) return "can't read";
   std::string engine = arguments["engine"].as<std::string>();
-  int64_t since = marks_[arguments["since"].as<std::string>()];
+  WallTime since = marks_[arguments["since"].as<std::string>()];
   for (const EngineRun& run : runs) {
-    if (run.engine == engine && run.started_ms > since) {
+    if (run.engine == engine && run.started > since) {
       return run.id + " ran on " + engine + " " +
-             std::to_string(run.started_ms - since) + " ms after the mark";
+             std::to_string(SinceEpoch(run.started).count() -
+                            SinceEpoch(since).count()) +
+             " ms after the mark";
     }
   }
   return "";
--- a/scenario/checks.h
+++ b/scenario/checks.h
@@ -22,7 +22,7 @@
   std::string id;   // request id and attempt
   std::string tag;  // prompt or body
   int times = 0;
-  int64_t started_ms = 0;
+  WallTime started{};
 };
 
 class Checks {
@@ -60,7 +60,7 @@
 
   World* const world_;
   Traffic* const traffic_;
-  std::map<std::string, int64_t> marks_;
+  std::map<std::string, WallTime> marks_;
 };
 
 }  // namespace leverwick
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -11,6 +11,7 @@
 
 #include "leverwick/digest.h"
 #include "net/json.h"
+#include "standin/reply.h"
 
 namespace leverwick {
 namespace {
@@ -26,21 +27,11 @@
     "before", "court",  "register", "notes", "change", "in",     "board"};
 constexpr size_t kWordCount = sizeof kWords / sizeof *kWords;
 
-void SendJson(HttpResponder* responder, int status, const Json::Value& value) {
-  responder->Send(status, {{"Content-Type", kJson}}, WriteJson(value));
-}
-
 void Refuse(HttpResponder* responder) {
   responder->Send(503, {{"Content-Type", kJson}, {"X-Started", "false"}},
                   "{\"error\":\"not started\"}");
 }
 
-int64_t NowMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::string PromptOf(const Json::Value& body) {
   std::string prompt;
   for (const Json::Value& message : body["messages"]) {
@@ -178,7 +169,7 @@
   if (runs_[id].cancelled) return false;
   ++running_;
   runs_[id].state = RunState::kRunning;
-  runs_[id].started_ms = NowMs();
+  runs_[id].started = std::chrono::system_clock::now();
   ++runs_[id].times;
   changed_.notify_all();
   return true;
@@ -335,7 +326,7 @@
     ++run.times;
     ++running_;
     run.state = RunState::kRunning;
-    run.started_ms = NowMs();
+    run.started = std::chrono::system_clock::now();
   }
   Wait(id, options_.first_token_time);
   while (faults.hang && Wait(id, milliseconds(200))) {
@@ -471,7 +462,7 @@
       run["times"] = entry.second.times;
       run["tag"] = entry.second.tag;
       run["tokens"] = Json::Int64(entry.second.tokens);
-      run["started_ms"] = Json::Int64(entry.second.started_ms);
+      run["started_ms"] = Json::Int64(SinceEpoch(entry.second.started).count());
       value["runs"].append(run);
     }
   }
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -65,7 +65,7 @@
     int times = 0;  // how often a dispatch of this id ran
     bool cancelled = false;
     bool poor = false;
-    int64_t started_ms = 0;
+    WallTime started{};
     std::string tag;  // the prompt or body, to tell runs apart
   };
   struct Faults {
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -10,16 +10,13 @@
 
 #include "leverwick/digest.h"
 #include "net/json.h"
+#include "standin/reply.h"
 
 namespace leverwick {
 namespace {
 
 constexpr char kJson[] = "application/json";
 
-void SendJson(HttpResponder* responder, int status, const Json::Value& value) {
-  responder->Send(status, {{"Content-Type", kJson}}, WriteJson(value));
-}
-
 void SendStatus(HttpResponder* responder, int status) {
   responder->Send(status, {{"Content-Type", "text/plain"}}, "");
 }
@@ -29,12 +26,6 @@
   responder->Send(200, {{"Connection", "close"}}, "");
 }
 
-int64_t NowMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 uint64_t Number(const HttpRequest& request, const char* name) {
   return std::strtoull(request.Parameter(name).c_str(), nullptr, 10);
 }
@@ -111,7 +102,8 @@
     return SendStatus(responder, 503);
   }
   Stream& stream = streams_[After(request.path, "/log/")];
-  stream.records.push_back(Record{NowMs(), request.body});
+  stream.records.push_back(
+      Record{std::chrono::system_clock::now(), request.body});
   uint64_t offset = stream.first + stream.records.size() - 1;
   while (stream.records.size() > options_.retained_records) {
     stream.records.pop_front();
@@ -153,7 +145,7 @@
     const Record& record = stream.records[offset - stream.first];
     Json::Value entry;
     entry["offset"] = Json::UInt64(offset);
-    entry["time_ms"] = Json::Int64(record.time_ms);
+    entry["time_ms"] = Json::Int64(SinceEpoch(record.time).count());
     entry["data"] = record.data;
     answer["records"].append(entry);
   }
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -41,7 +41,7 @@
 
  private:
   struct Record {
-    int64_t time_ms;
+    WallTime time;
     std::string data;
   };
   struct Stream {
