A request that waited is not sent to a version withdrawn meanwhile

Cause: the version was checked when it was chosen; a request that then waited for a place, or was tried again, was dispatched by the table it had read before. Ruled out: the pause of 0.5 s in withdrawn_version only hid this; it stays, for that script has requests under way, and the new one has none. Change: the table in force is asked before every dispatch whether the version is withdrawn or no longer allowed; if so, not run, or the earlier outcome. Conclusion: holds for waiting, retries, second legs and continued streams; the first two are by one code path, only waiting has the scenario.

--- a/daemon/dispatcher.cc
+++ b/daemon/dispatcher.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "daemon/sse.h"
+#include "leverwick/routing.h"
 #include "net/json.h"
 #include "net/log.h"
 
@@ -59,6 +60,17 @@
   int64_t attempt_base = 0;  // tokens relayed before this attempt
 };
 
+bool Dispatcher::StillAllowed(const Exchange& exchange,
+                              const LegRequest& leg) const {
+  if (leg.version.empty()) return true;  // a plain service
+  std::shared_ptr<const Table> table = node_->tables.table();
+  const Version* version = table->FindVersion(leg.model, leg.version);
+  const Organisation* organisation =
+      table->FindOrganisation(exchange.organisation->name());
+  return version != nullptr && version->state() != Version::WITHDRAWN &&
+         organisation != nullptr && IsAllowed(*organisation, *version);
+}
+
 bool Dispatcher::Begin(Exchange* exchange, const LegRequest& leg,
                        std::set<std::string>* excluded, Attempt* attempt,
                        Outcome* outcome) {
@@ -68,6 +80,12 @@
     outcome->result = dispatched ? Result::kDeadline : Result::kQueueTimeout;
     return false;
   }
+  // The request may have waited, or be tried again, since its version was
+  // chosen: it is sent only if the table in force now still lets it.
+  if (!StillAllowed(*exchange, leg)) {
+    if (outcome->ok()) outcome->result = Result::kNoEndpoint;
+    return false;
+  }
   EndpointPool::Choice choice =
       node_->endpoints.Pick(leg.target, leg.affinity, *excluded, now);
   if (choice.address.empty()) {
--- a/daemon/dispatcher.h
+++ b/daemon/dispatcher.h
@@ -65,6 +65,7 @@
   struct Attempt;
   struct Relay;
 
+  bool StillAllowed(const Exchange& exchange, const LegRequest& leg) const;
   bool Begin(Exchange* exchange, const LegRequest& leg,
              std::set<std::string>* excluded, Attempt* attempt,
              Outcome* outcome);
