Copies reach peers that come late, and begin anew after a loss

The box answered before it stood in the roster; a box outside the roster had no targets, so nothing was copied, and a peer that became a target later was told only of what came after. A copy message that failed was dropped, too, though a comment said it was sent again. Ruled out: failed calls (a trial that logged them had none in the failing run); settling (both peers settled just what they held); patience (30 s passed). Change: a box outside the roster has the targets it would have in it. A copy stream begins with all that is open or unappended, is numbered, and begins anew after a message whose fate is unknown; what names repeat is sent once and then by number. A peer's book keeps what it held until the new beginning is complete. Intents carry their attempt. Conclusion: a request answered before any peer is known is safe once a peer is. Left: a box that dies before it knows any peer loses the bills of that time.

--- a/daemon/admin.cc
+++ b/daemon/admin.cc
@@ -76,6 +76,7 @@
   status["endpoints"] = Json::UInt64(node_->endpoints.addresses().size());
   status["in_progress"] = node_->in_progress.load();
   status["bills_queued"] = Json::UInt64(node_->bills.size());
+  status["copied_to"] = bills_->copied_to();
   status["intents_held"] = Json::UInt64(node_->intents.size());
   status["claims_held"] = Json::UInt64(node_->claim_copies.size());
   responder->Send(200, {{"Content-Type", kJson}}, WriteJson(status));
--- a/daemon/admin.h
+++ b/daemon/admin.h
@@ -3,6 +3,7 @@
 #ifndef DAEMON_ADMIN_H_
 #define DAEMON_ADMIN_H_
 
+#include "daemon/bill_keeper.h"
 #include "daemon/explain.h"
 #include "daemon/gateway.h"
 #include "daemon/node.h"
@@ -12,9 +13,11 @@
 
 class Admin {
  public:
-  Admin(Node* node, Gateway* gateway, Explanations* explanations,
-        RpcServer* rpc, std::function<uint64_t()> control_bytes)
+  Admin(Node* node, const BillKeeper* bills, Gateway* gateway,
+        Explanations* explanations, RpcServer* rpc,
+        std::function<uint64_t()> control_bytes)
       : node_(node),
+        bills_(bills),
         gateway_(gateway),
         explanations_(explanations),
         rpc_(rpc),
@@ -36,6 +39,7 @@
   void Health(const HttpRequest& request, HttpResponder* responder);
 
   Node* const node_;
+  const BillKeeper* const bills_;
   Gateway* const gateway_;
   Explanations* const explanations_;
   RpcServer* const rpc_;
--- a/daemon/bill_keeper.cc
+++ b/daemon/bill_keeper.cc
@@ -26,58 +26,6 @@
 
 }  // namespace
 
-CopyStream::CopyStream(Node* node, Member peer)
-    : node_(node), peer_(std::move(peer)) {
-  next_.set_life(node_->life);
-  thread_ = std::thread([this] { Run(); });
-}
-
-CopyStream::~CopyStream() {
-  {
-    std::lock_guard<std::mutex> lock(mutex_);
-    stopped_ = true;
-    changed_.notify_all();
-  }
-  thread_.join();
-}
-
-uint64_t CopyStream::Add(const IntentBatch& batch) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  next_.MergeFrom(batch);
-  next_.set_life(node_->life);
-  changed_.notify_all();
-  return next_number_;
-}
-
-bool CopyStream::Wait(uint64_t number) {
-  std::unique_lock<std::mutex> lock(mutex_);
-  changed_.wait(lock, [&] { return stopped_ || answered_ >= number; });
-  return answered_ >= number && last_failed_ != number;
-}
-
-void CopyStream::Run() {
-  nanoseconds linger = FromProto(node_->settings.bills().linger());
-  std::unique_lock<std::mutex> lock(mutex_);
-  for (;;) {
-    changed_.wait(lock, [this] {
-      return stopped_ || next_.opened_size() > 0 || next_.billed_size() > 0 ||
-             next_.appended_size() > 0;
-    });
-    if (stopped_) return;
-    changed_.wait_for(lock, linger, [this] { return stopped_; });
-    IntentBatch batch;
-    batch.Swap(&next_);
-    uint64_t number = next_number_++;
-    lock.unlock();
-    Ack ack;
-    bool good = !node_->peers.Call(peer_, "CopyIntents", batch, &ack);
-    lock.lock();
-    answered_ = number;
-    if (!good) last_failed_ = number;
-    changed_.notify_all();
-  }
-}
-
 void BillKeeper::Start() {
   appender_.Start(FromProto(node_->settings.bills().append_interval()),
                   [this] { AppendStep(); });
@@ -101,9 +49,11 @@
   std::map<std::string, std::shared_ptr<CopyStream>> kept;
   for (const Member& target : targets) {
     auto found = streams_.find(target.life());
-    kept[target.life()] = found != streams_.end()
-                              ? found->second
-                              : std::make_shared<CopyStream>(node_, target);
+    kept[target.life()] =
+        found != streams_.end()
+            ? found->second
+            : std::make_shared<CopyStream>(node_, target,
+                                           [this] { return CopyState(); });
     streams.push_back(kept[target.life()]);
   }
   streams_.swap(kept);
@@ -111,9 +61,31 @@
   return streams;
 }
 
+int BillKeeper::copied_to() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return static_cast<int>(std::count_if(
+      streams_.begin(), streams_.end(),
+      [](const auto& entry) { return entry.second->caught_up(); }));
+}
+
+IntentBatch BillKeeper::CopyState() const {
+  // Open requests first: one that is billed meanwhile is then in both, never
+  // in neither.
+  IntentBatch state;
+  for (const auto& entry : open_.HeldOf(node_->life).open) {
+    for (const Intent& intent : entry.second) *state.add_opened() = intent;
+  }
+  for (const BillLine& line : node_->bills.Batch(node_->bills.size())) {
+    *state.add_billed() = line;
+  }
+  return state;
+}
+
 int BillKeeper::Open(const Intent& intent) {
   IntentBatch batch;
+  batch.set_life(node_->life);
   *batch.add_opened() = intent;
+  open_.Take(batch);
   std::vector<std::shared_ptr<CopyStream>> streams = Streams();
   std::vector<uint64_t> numbers;
   for (const auto& stream : streams) numbers.push_back(stream->Add(batch));
@@ -127,6 +99,7 @@
 
 void BillKeeper::Close(const BillLine& line) {
   node_->bills.Add(line);
+  open_.Settled(node_->life, {line.sequence()});
   IntentBatch batch;
   *batch.add_billed() = line;
   for (const auto& stream : Streams()) stream->Add(batch);
@@ -191,6 +164,7 @@
 }
 
 void BillKeeper::SettleStep() {
+  Streams();  // a new target hears of what is open without waiting for news
   for (const std::string& life : node_->intents.lives()) {
     if (!IsOver(life)) continue;
     bool give_up = Clock::now() - over_since_[life] > kGiveUpAfter;
@@ -204,8 +178,8 @@
   bool all = true;
   for (const auto& entry : held.open) {
     std::vector<DispatchState> states;
-    for (size_t i = 0; i < entry.second.size(); ++i) {
-      states.push_back(Ask(life, entry.second[i], i + 1));
+    for (const Intent& intent : entry.second) {
+      states.push_back(Ask(life, intent));
     }
     BillLine line;
     if (SettleLine(entry.first, entry.second, states, give_up, &line)) {
@@ -215,10 +189,11 @@
       all = false;
     }
   }
-  if (lines.empty() || Append(life, lines)) return false;
+  if (!lines.empty() && Append(life, lines)) return false;
   std::vector<uint64_t> sequences;
   for (const BillLine& line : lines) sequences.push_back(line.sequence());
   node_->intents.Settled(life, sequences);
+  if (lines.empty()) return all;
   log_.Info("Open requests settled.",
             {{"life", life}, {"lines", std::to_string(lines.size())}});
   node_->metrics.Add("leverwick_settled_total", "",
@@ -226,13 +201,12 @@
   return all;
 }
 
-DispatchState BillKeeper::Ask(const std::string& life, const Intent& intent,
-                              size_t attempt) {
+DispatchState BillKeeper::Ask(const std::string& life, const Intent& intent) {
   EndpointCall call;
   call.method = "GET";
   call.address = intent.endpoint();
   call.path = "/v1/requests/" + RequestId(life, intent.sequence()) + "." +
-              std::to_string(attempt);
+              std::to_string(intent.attempt());
   call.connect_timeout =
       FromProto(node_->settings.requests().connect_timeout());
   call.timeout = FromProto(node_->settings.peers().timeout());
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -37,7 +37,7 @@
       watcher_(node_.get()),
       gateway_(node_.get(), &bills_, &claims_, &watcher_, &explanations_),
       rpc_(node_->life),
-      admin_(node_.get(), &gateway_, &explanations_, &rpc_,
+      admin_(node_.get(), &bills_, &gateway_, &explanations_, &rpc_,
              [this] { return control_.bytes(); }) {}
 
 std::error_code Daemon::StartServers() {
--- a/daemon/dispatcher.cc
+++ b/daemon/dispatcher.cc
@@ -103,6 +103,7 @@
   intent.set_endpoint(attempt->endpoint);
   intent.set_model(leg.model);
   intent.set_version(leg.version);
+  intent.set_attempt(static_cast<uint32_t>(exchange->attempts));
   bills_->Open(intent);
   attempt->begin = Clock::now();
   node_->endpoints.Started(attempt->endpoint);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -66,6 +66,7 @@
   std::atomic<bool> stopping{false};
   std::atomic<int> in_progress{0};
   std::atomic<uint64_t> next_sequence{1};
+  std::atomic<uint64_t> copy_generation{0};  // of all copy streams
 };
 
 // Makes a Node with a fresh life.
--- a/daemon/peer_service.cc
+++ b/daemon/peer_service.cc
@@ -15,12 +15,11 @@
       "Tail", [tables](const TailRequest& request, TailReply* reply) {
         return tables->ServeTail(request, reply);
       });
-  server->Add<IntentBatch, Ack>("CopyIntents",
-                                [node](const IntentBatch& request, Ack* reply) {
-                                  node->intents.Take(request);
-                                  reply->set_accepted(true);
-                                  return true;
-                                });
+  server->Add<CopyBatch, Ack>(
+      "CopyIntents", [node](const CopyBatch& request, Ack* reply) {
+        reply->set_accepted(node->intents.TakeCopies(request));
+        return true;
+      });
   server->Add<SealRequest, SealReply>(
       "Seal", [node](const SealRequest& request, SealReply* reply) {
         *reply = node->claim_copies.Seal(request);
--- a/leverwick/bills.cc
+++ b/leverwick/bills.cc
@@ -1,9 +1,7 @@
-// The intent book may see the messages of a life in any order, and twice: a
-// batch is sent again when its acknowledgement was lost. A bill line therefore
-// wins over an intent that comes after it, and `appended` sequences are
-// forgotten only from what is held, which a late repeat may bring back. The
-// repeat is then settled into a second line with the same id, and the ledger
-// drops it.
+// A copy stream keeps order, and begins anew after a loss. Between the new
+// beginning and its end the book holds what it held before as well, so that a
+// box that dies then loses nothing; what the log has meanwhile is settled into
+// a second line with the same id, and the ledger drops it.
 
 #include "leverwick/bills.h"
 
@@ -55,22 +53,53 @@
   return lines_.size();
 }
 
-void IntentBook::Take(const IntentBatch& batch) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  Life& life = lives_[batch.life()];
+void IntentBook::Add(const IntentBatch& batch, Entries* entries) {
   for (const Intent& intent : batch.opened()) {
-    if (life.billed.count(intent.sequence()) > 0) continue;
-    life.open[intent.sequence()].push_back(intent);
+    if (entries->billed.count(intent.sequence()) > 0) continue;
+    std::vector<Intent>& dispatches = entries->open[intent.sequence()];
+    bool known = std::any_of(dispatches.begin(), dispatches.end(),
+                             [&intent](const Intent& other) {
+                               return other.attempt() == intent.attempt();
+                             });
+    if (!known) dispatches.push_back(intent);
   }
   for (const BillLine& line : batch.billed()) {
-    life.open.erase(line.sequence());
-    life.billed[line.sequence()] = line;
+    entries->open.erase(line.sequence());
+    entries->billed[line.sequence()] = line;
+  }
+}
+
+void IntentBook::Forget(uint64_t sequence, Life* life) {
+  for (Entries* entries : {&life->current, &life->earlier}) {
+    entries->open.erase(sequence);
+    entries->billed.erase(sequence);
   }
-  for (uint64_t sequence : batch.appended()) {
-    life.open.erase(sequence);
-    life.billed.erase(sequence);
+}
+
+void IntentBook::TakeLocked(const IntentBatch& batch, Life* life) {
+  if (batch.begins()) {
+    // What is not stated again was appended, but only the whole state tells.
+    for (auto& entry : life->current.open) life->earlier.open.insert(entry);
+    for (auto& entry : life->current.billed) life->earlier.billed.insert(entry);
+    life->current = Entries();
   }
-  if (life.open.empty() && life.billed.empty()) lives_.erase(batch.life());
+  Add(batch, &life->current);
+  for (uint64_t sequence : batch.appended()) Forget(sequence, life);
+  if (batch.complete()) life->earlier = Entries();
+}
+
+void IntentBook::Take(const IntentBatch& batch) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  TakeLocked(batch, &lives_[batch.life()]);
+}
+
+bool IntentBook::TakeCopies(const CopyBatch& message) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  Life& life = lives_[message.life()];
+  IntentBatch batch;
+  if (!life.receiver.Read(message, &batch)) return false;
+  TakeLocked(batch, &life);
+  return true;
 }
 
 IntentBook::Held IntentBook::HeldOf(const std::string& life) const {
@@ -78,8 +107,14 @@
   Held held;
   auto found = lives_.find(life);
   if (found == lives_.end()) return held;
-  held.open = found->second.open;
-  for (const auto& entry : found->second.billed) {
+  const Entries& current = found->second.current;
+  const Entries& earlier = found->second.earlier;
+  std::map<uint64_t, BillLine> billed = current.billed;
+  billed.insert(earlier.billed.begin(), earlier.billed.end());
+  held.open = current.open;
+  held.open.insert(earlier.open.begin(), earlier.open.end());
+  for (const auto& entry : billed) {
+    held.open.erase(entry.first);
     held.billed.push_back(entry.second);
   }
   return held;
@@ -87,10 +122,14 @@
 
 void IntentBook::Settled(const std::string& life,
                          const std::vector<uint64_t>& sequences) {
-  IntentBatch batch;
-  batch.set_life(life);
-  for (uint64_t sequence : sequences) batch.add_appended(sequence);
-  Take(batch);
+  std::lock_guard<std::mutex> lock(mutex_);
+  auto found = lives_.find(life);
+  if (found == lives_.end()) return;
+  for (uint64_t sequence : sequences) Forget(sequence, &found->second);
+  const Life& held = found->second;
+  bool empty = held.current.open.empty() && held.current.billed.empty() &&
+               held.earlier.open.empty() && held.earlier.billed.empty();
+  if (empty) lives_.erase(found);
 }
 
 std::vector<std::string> IntentBook::lives() const {
@@ -104,7 +143,10 @@
   std::lock_guard<std::mutex> lock(mutex_);
   size_t size = 0;
   for (const auto& entry : lives_) {
-    size += entry.second.open.size() + entry.second.billed.size();
+    for (const Entries* entries :
+         {&entry.second.current, &entry.second.earlier}) {
+      size += entries->open.size() + entries->billed.size();
+    }
   }
   return size;
 }
--- a/leverwick/bills.h
+++ b/leverwick/bills.h
@@ -24,6 +24,7 @@
 #include <string>
 #include <vector>
 
+#include "leverwick/copies.h"
 #include "leverwick/time.h"
 #include "schema/bills.pb.h"
 #include "schema/peer.pb.h"
@@ -66,6 +67,10 @@
  public:
   void Take(const IntentBatch& batch);
 
+  // Takes a message of a life's copy stream; false when the stream must begin
+  // anew.
+  bool TakeCopies(const CopyBatch& message);
+
   // All that is held of a life; intents of a sequence already billed are left
   // out.
   struct Held {
@@ -74,7 +79,7 @@
   };
   Held HeldOf(const std::string& life) const;
 
-  // Forgets sequences that have been settled.
+  // Forgets sequences that have been settled, and the life with its last one.
   void Settled(const std::string& life, const std::vector<uint64_t>& sequences);
 
   std::vector<std::string> lives() const;
@@ -83,10 +88,19 @@
   size_t size() const;
 
  private:
-  struct Life {
-    std::map<uint64_t, std::vector<Intent>> open;
+  struct Entries {
+    std::map<uint64_t, std::vector<Intent>> open;  // by attempt
     std::map<uint64_t, BillLine> billed;
   };
+  struct Life {
+    Entries current;
+    Entries earlier;  // held until the stream's new beginning is complete
+    CopyReceiver receiver;
+  };
+
+  static void Add(const IntentBatch& batch, Entries* entries);
+  static void Forget(uint64_t sequence, Life* life);
+  void TakeLocked(const IntentBatch& batch, Life* life);
 
   mutable std::mutex mutex_;
   std::map<std::string, Life> lives_;
--- /dev/null
+++ b/leverwick/copies.cc
@@ -0,0 +1,223 @@
+// The queue keeps order: requests are sent before their lines, and "appended"
+// only once all lines before it have gone, so the receiver never takes back
+// what it was told to forget. Numbers of targets hold for one generation.
+// Costs travel as whole billionths, which are shorter than a double.
+
+#include "leverwick/copies.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace leverwick {
+namespace {
+
+constexpr double kNanos = 1e9;
+
+int64_t Relative(uint64_t sequence, uint64_t base) {
+  return static_cast<int64_t>(sequence - base);
+}
+
+uint64_t Absolute(int64_t relative, uint64_t base) {
+  return base + static_cast<uint64_t>(relative);
+}
+
+uint64_t BaseOf(const IntentBatch& batch) {
+  if (batch.opened_size() > 0) return batch.opened(0).sequence();
+  if (batch.billed_size() > 0) return batch.billed(0).sequence();
+  return batch.appended_size() > 0 ? batch.appended(0) : 0;
+}
+
+CopyTarget MakeTarget(const std::string& organisation,
+                      const std::string& endpoint, const std::string& model,
+                      const std::string& version) {
+  CopyTarget target;
+  target.set_organisation(organisation);
+  target.set_endpoint(endpoint);
+  target.set_model(model);
+  target.set_version(version);
+  return target;
+}
+
+}  // namespace
+
+void CopySender::Begin(uint64_t generation) {
+  begun_ = true;
+  has_state_ = false;
+  completed_ = false;
+  generation_ = generation;
+  number_ = 0;
+  state_opened_ = 0;
+  state_billed_ = 0;
+  queue_.Clear();
+  targets_.clear();
+}
+
+void CopySender::AddState(const IntentBatch& state) {
+  has_state_ = true;
+  state_opened_ = static_cast<size_t>(state.opened_size());
+  state_billed_ = static_cast<size_t>(state.billed_size());
+  IntentBatch news;
+  news.Swap(&queue_);
+  queue_ = state;
+  queue_.MergeFrom(news);
+}
+
+void CopySender::Add(const IntentBatch& news) {
+  if (begun_) queue_.MergeFrom(news);
+}
+
+size_t CopySender::queued() const {
+  return static_cast<size_t>(queue_.opened_size()) +
+         static_cast<size_t>(queue_.billed_size());
+}
+
+bool CopySender::idle() const {
+  bool empty = queued() == 0 && queue_.appended_size() == 0;
+  return begun_ && has_state_ && completed_ && empty;
+}
+
+uint32_t CopySender::TargetOf(const CopyTarget& target, CopyBatch* batch) {
+  auto next = static_cast<uint32_t>(targets_.size());
+  auto inserted = targets_.emplace(target.SerializeAsString(), next);
+  if (inserted.second) *batch->add_targets() = target;
+  return inserted.first->second;
+}
+
+void CopySender::AddOpened(const Intent& intent, CopyBatch* batch) {
+  batch->add_opened(Relative(intent.sequence(), batch->base()));
+  batch->add_opened_targets(
+      TargetOf(MakeTarget(intent.organisation(), intent.endpoint(),
+                          intent.model(), intent.version()),
+               batch));
+  batch->add_opened_attempts(intent.attempt());
+}
+
+void CopySender::AddBilled(const BillLine& line, CopyBatch* batch) {
+  CopiedLine* copied = batch->add_billed();
+  copied->set_sequence(Relative(line.sequence(), batch->base()));
+  copied->set_outcome(line.outcome());
+  for (const BillLeg& leg : line.legs()) {
+    copied->add_targets(TargetOf(MakeTarget(line.organisation(), leg.endpoint(),
+                                            leg.model(), leg.version()),
+                                 batch));
+    copied->add_prompt_tokens(leg.prompt_tokens());
+    copied->add_completion_tokens(leg.completion_tokens());
+    copied->add_cost_nanos(std::llround(leg.cost() * kNanos));
+  }
+  if (line.legs_size() > 0) return;
+  copied->set_organisation(
+      TargetOf(MakeTarget(line.organisation(), "", "", ""), batch));
+}
+
+CopyBatch CopySender::Next(size_t most) {
+  CopyBatch batch;
+  batch.set_life(life_);
+  batch.set_generation(generation_);
+  batch.set_number(++number_);
+  batch.set_base(BaseOf(queue_));
+  size_t opened = std::min(most, static_cast<size_t>(queue_.opened_size()));
+  size_t billed =
+      std::min(most - opened, static_cast<size_t>(queue_.billed_size()));
+  for (size_t i = 0; i < opened; ++i) {
+    AddOpened(queue_.opened(static_cast<int>(i)), &batch);
+  }
+  for (size_t i = 0; i < billed; ++i) {
+    AddBilled(queue_.billed(static_cast<int>(i)), &batch);
+  }
+  queue_.mutable_opened()->DeleteSubrange(0, static_cast<int>(opened));
+  queue_.mutable_billed()->DeleteSubrange(0, static_cast<int>(billed));
+  state_opened_ -= std::min(state_opened_, opened);
+  state_billed_ -= std::min(state_billed_, billed);
+  bool ended = has_state_ && state_opened_ == 0 && state_billed_ == 0;
+  batch.set_complete(ended && !completed_);
+  completed_ = completed_ || ended;
+  if (queued() > 0) return batch;
+  for (uint64_t sequence : queue_.appended()) {
+    batch.add_appended(Relative(sequence, batch.base()));
+  }
+  queue_.clear_appended();
+  return batch;
+}
+
+bool CopyReceiver::ReadTargets(const CopyBatch& message) {
+  bool begins = message.generation() > generation_ && message.number() == 1;
+  if (begins) broken_ = false;
+  bool follows =
+      message.generation() == generation_ && message.number() == number_ + 1;
+  if (broken_ || (!begins && !follows)) return false;
+  if (begins) targets_.clear();
+  targets_.insert(targets_.end(), message.targets().begin(),
+                  message.targets().end());
+  generation_ = message.generation();
+  number_ = message.number();
+  return true;
+}
+
+bool CopyReceiver::ReadOpened(const CopyBatch& message,
+                              IntentBatch* batch) const {
+  if (message.opened_targets_size() != message.opened_size()) return false;
+  if (message.opened_attempts_size() != message.opened_size()) return false;
+  for (int i = 0; i < message.opened_size(); ++i) {
+    if (message.opened_targets(i) >= targets_.size()) return false;
+    const CopyTarget& target = targets_[message.opened_targets(i)];
+    Intent* intent = batch->add_opened();
+    intent->set_sequence(Absolute(message.opened(i), message.base()));
+    intent->set_organisation(target.organisation());
+    intent->set_endpoint(target.endpoint());
+    intent->set_model(target.model());
+    intent->set_version(target.version());
+    intent->set_attempt(message.opened_attempts(i));
+  }
+  return true;
+}
+
+bool CopyReceiver::ReadBilled(const CopyBatch& message,
+                              IntentBatch* batch) const {
+  for (const CopiedLine& copied : message.billed()) {
+    bool even = copied.prompt_tokens_size() == copied.targets_size() &&
+                copied.completion_tokens_size() == copied.targets_size() &&
+                copied.cost_nanos_size() == copied.targets_size();
+    if (!even) return false;
+    BillLine* line = batch->add_billed();
+    line->set_sequence(Absolute(copied.sequence(), message.base()));
+    line->set_outcome(copied.outcome());
+    for (int i = 0; i < copied.targets_size(); ++i) {
+      if (copied.targets(i) >= targets_.size()) return false;
+      const CopyTarget& target = targets_[copied.targets(i)];
+      line->set_organisation(target.organisation());
+      BillLeg* leg = line->add_legs();
+      leg->set_endpoint(target.endpoint());
+      leg->set_model(target.model());
+      leg->set_version(target.version());
+      leg->set_prompt_tokens(copied.prompt_tokens(i));
+      leg->set_completion_tokens(copied.completion_tokens(i));
+      leg->set_cost(static_cast<double>(copied.cost_nanos(i)) / kNanos);
+    }
+    if (copied.targets_size() > 0) continue;
+    if (copied.organisation() >= targets_.size()) return false;
+    line->set_organisation(targets_[copied.organisation()].organisation());
+  }
+  return true;
+}
+
+bool CopyReceiver::Read(const CopyBatch& message, IntentBatch* batch) {
+  batch->Clear();
+  batch->set_life(message.life());
+  bool repeated =
+      message.generation() == generation_ && message.number() <= number_;
+  if (repeated) return !broken_;
+  if (!ReadTargets(message)) return false;
+  if (!ReadOpened(message, batch) || !ReadBilled(message, batch)) {
+    batch->Clear();
+    broken_ = true;
+    return false;
+  }
+  for (int64_t relative : message.appended()) {
+    batch->add_appended(Absolute(relative, message.base()));
+  }
+  batch->set_begins(message.number() == 1);
+  batch->set_complete(message.complete());
+  return true;
+}
+
+}  // namespace leverwick
--- a/leverwick/membership.cc
+++ b/leverwick/membership.cc
@@ -1,6 +1,7 @@
 // The ring is the roster sorted by the hash of the lives; a member's targets
 // are its next `fanout` successors. Only the targets of a member judge it, for
-// only they should hear from it.
+// only they should hear from it. A box that is not yet in the roster, or no
+// longer, has the targets that it would have as a member.
 
 #include "leverwick/membership.h"
 
@@ -75,15 +76,15 @@
   return now - last > options_.dead_after;
 }
 
-std::vector<Member> Membership::SuccessorsOf(const std::string& life) const {
+std::vector<Member> Membership::SuccessorsOf(const Member& member) const {
   std::vector<Member> ring(roster_.members().begin(), roster_.members().end());
+  if (!Holds(roster_, member.life())) ring.push_back(member);
   std::sort(ring.begin(), ring.end(), [](const Member& a, const Member& b) {
     return StableHash(a.life()) < StableHash(b.life());
   });
-  auto self = std::find_if(ring.begin(), ring.end(), [&life](const Member& m) {
-    return m.life() == life;
-  });
-  if (self == ring.end()) return {};
+  auto self = std::find_if(
+      ring.begin(), ring.end(),
+      [&member](const Member& m) { return m.life() == member.life(); });
   std::rotate(ring.begin(), self + 1, ring.end());
   ring.pop_back();
   if (ring.size() > options_.fanout) ring.resize(options_.fanout);
@@ -92,11 +93,11 @@
 
 std::vector<Member> Membership::Targets() const {
   std::lock_guard<std::mutex> lock(mutex_);
-  return SuccessorsOf(options_.self.life());
+  return SuccessorsOf(options_.self);
 }
 
 bool Membership::SendsToUs(const Member& member) const {
-  for (const Member& target : SuccessorsOf(member.life())) {
+  for (const Member& target : SuccessorsOf(member)) {
     if (target.life() == options_.self.life()) return true;
   }
   return false;
--- a/leverwick/membership.h
+++ b/leverwick/membership.h
@@ -55,7 +55,8 @@
   // Whether the list, read since, has not held the life for dead_after.
   bool IsGone(const std::string& life, TimePoint now) const;
 
-  // The members that get this box's heartbeats.
+  // The members that get this box's heartbeats and copies, also while it is
+  // not a member itself.
   std::vector<Member> Targets() const;
 
   // The change this box would append now; none when the roster is right.
@@ -75,7 +76,7 @@
 
   bool IsSilent(const Member& member, TimePoint now) const;
   bool SendsToUs(const Member& member) const;
-  std::vector<Member> SuccessorsOf(const std::string& life) const;
+  std::vector<Member> SuccessorsOf(const Member& member) const;
 
   const MembershipOptions options_;
   mutable std::mutex mutex_;
--- a/leverwick/testing/membership_test.cc
+++ b/leverwick/testing/membership_test.cc
@@ -166,5 +166,24 @@
   CHECK(freshness.At(At(13.5)) == Freshness::kFresh);
 }
 
+std::vector<std::string> TargetsOf(const std::string& life,
+                                   const Roster& roster) {
+  Membership membership(OptionsOf(life));
+  membership.Tick(roster, At(0));
+  std::vector<std::string> lives;
+  for (const Member& member : membership.Targets()) {
+    lives.push_back(member.life());
+  }
+  return lives;
+}
+
+TEST_CASE("a box outside the roster has the targets it would have in it") {
+  Roster with = MakeRoster(2, {"a", "b", "c", "d", "e", "f"});
+  Roster without = MakeRoster(1, {"a", "b", "d", "e", "f"});
+  CHECK(!TargetsOf("c", without).empty());
+  CHECK(TargetsOf("c", without) == TargetsOf("c", with));
+  CHECK(TargetsOf("c", Roster()).empty());
+}
+
 }  // namespace
 }  // namespace leverwick
