How full a pool may get depends on how far beyond its part an organisation is

The flooder held all places but a fifth with requests of 8 s, and an organisation just beyond its part (2.3 of 23 places) was under the same rule as one at eight times it: it waited until one of the long requests ended. Change: the limit on running requests falls in a straight line from 1.25 of the places within the part to 0.9 at four times it. Engines take a few more than their places, a little slower.

--- a/daemon/places.h
+++ b/daemon/places.h
@@ -51,14 +51,15 @@
   struct Pool {
     std::mutex mutex;
     std::condition_variable changed;
-    FairQueue queue{1, kMostWaiting, kReserve};
+    FairQueue queue{1, kMostWaiting, FairQueueOptions{kReserve, kOvercommit}};
     std::set<uint64_t> started;
     std::set<uint64_t> shed;
     double mean_hold = 0.5;  // seconds a place was held
   };
   static constexpr size_t kMostWaiting = 512;
-  // Of the places, for organisations within their part.
-  static constexpr double kReserve = 0.2;
+  // As measured by bench-pool: shares of the places.
+  static constexpr double kReserve = 0.1;
+  static constexpr double kOvercommit = 0.25;
 
   Pool& PoolOf(const std::string& target);
   void Leave(const std::string& target, uint64_t id, TimePoint since);
--- a/leverwick/fair_queue.cc
+++ b/leverwick/fair_queue.cc
@@ -2,13 +2,21 @@
 // organisation's last finish, or the virtual time if that is later, plus cost
 // over weight. The waiter with the smallest finish starts next, and its finish
 // becomes the virtual time. One that may not start, because its organisation
-// is beyond its part and only the reserve is free, is passed over.
+// holds too much for so full a pool, is passed over.
 
 #include "leverwick/fair_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace leverwick {
+namespace {
+
+// An organisation that holds its part and this many parts more is as far
+// beyond it as can be.
+constexpr double kFarBeyond = 3;
+
+}  // namespace
 
 FairQueue::Ticket FairQueue::Enter(const std::string& organisation,
                                    double weight, int priority, double cost,
@@ -42,20 +50,27 @@
   return ticket;
 }
 
-bool FairQueue::MayStart(const std::string& organisation) const {
-  if (running_.size() >= places_) return false;
+// 0 within the part, with one more request; 1 far beyond it.
+double FairQueue::Beyond(const std::string& organisation) const {
+  auto found = running_of_.find(organisation);
+  if (found == running_of_.end() || found->second == 0) return 0;
   double total = 0;
   for (const auto& entry : weights_) total += entry.second;
-  double places = static_cast<double>(places_);
-  double part = places * weights_.at(organisation) / total;
-  auto found = running_of_.find(organisation);
-  double held =
-      found == running_of_.end() ? 0 : static_cast<double>(found->second);
-  if (held + 1 <= part) return true;
-  // Somebody's first request never waits for the reserve alone.
-  double free = places - static_cast<double>(running_.size());
-  return free > reserve_ * places || (held == 0 && reserve_ > 0) ||
-         weights_.size() == 1;
+  double part =
+      static_cast<double>(places_) * weights_.at(organisation) / total;
+  double excess = static_cast<double>(found->second + 1) - part;
+  return std::min(1.0, std::max(0.0, excess / part / kFarBeyond));
+}
+
+bool FairQueue::MayStart(const std::string& organisation) const {
+  auto places = static_cast<double>(places_);
+  auto running = static_cast<double>(running_.size());
+  if (weights_.size() == 1) return running < places;
+  double beyond = Beyond(organisation);
+  double limit = places * (1 + options_.overcommit * (1 - beyond) -
+                           options_.reserve * beyond);
+  // Of a few places a share may be less than one: rounded in its favour.
+  return running + 1 <= std::max(1.0, std::round(limit));
 }
 
 void FairQueue::Start(uint64_t id, const std::string& organisation) {
@@ -96,8 +111,7 @@
 
 std::vector<uint64_t> FairQueue::StartWaiters() {
   std::vector<uint64_t> started;
-  for (auto next = order_.begin();
-       next != order_.end() && running_.size() < places_;) {
+  for (auto next = order_.begin(); next != order_.end();) {
     const Waiter& waiter = waiters_.at(next->second);
     if (!MayStart(waiter.organisation)) {
       ++next;
--- a/leverwick/fair_queue.h
+++ b/leverwick/fair_queue.h
@@ -2,14 +2,17 @@
 //
 // Weighted fair queueing in cost (tokens), not in requests: an organisation's
 // long filings can't slow another's short lookups. A place is one request in
-// progress. A share of the places is kept for organisations that hold no more
-// than their weight's part, so that one that floods the pool can't make the
-// others wait for its long requests to end. When the queue is full, the waiter
+// progress. How full the pool may get for a request depends on how much its
+// organisation holds already: within its weight's part somewhat over all
+// places, which slows the engines a little, and the less the further it is
+// beyond it, down to all places but a reserve. So one that floods the pool
+// can't make the others wait for its long requests to end. When the queue is
+// full, the waiter
 // of the lowest priority is shed, at once; among equals the one that would be
 // served last, which is the flooder's.
 //
-//   FairQueue queue(options);
-//   FairQueue::Ticket ticket = queue.Enter("acme", 1.0, 5, 800, now);
+//   FairQueue queue(places, max_waiting, options);
+//   FairQueue::Ticket ticket = queue.Enter("acme", 1.0, 5, 800, &shed);
 //   if (ticket.state == FairQueue::kWaiting) ...  // a later Leave starts it
 //
 // The queue has no threads: Leave returns the ids that may start now and
@@ -28,6 +31,13 @@
 
 namespace leverwick {
 
+struct FairQueueOptions {
+  // Share of the places that an organisation far beyond its part leaves free.
+  double reserve = 0;
+  // Places on top of all, as a share, for organisations within their part.
+  double overcommit = 0;
+};
+
 // Not thread-safe; the daemon guards each pool's queue with its own lock.
 class FairQueue {
  public:
@@ -38,10 +48,9 @@
     State state = kShed;
   };
 
-  // `reserve` is the share of places that no organisation beyond its part may
-  // take.
-  FairQueue(size_t places, size_t max_waiting, double reserve = 0)
-      : places_(places), max_waiting_(max_waiting), reserve_(reserve) {}
+  FairQueue(size_t places, size_t max_waiting,
+            const FairQueueOptions& options = {})
+      : places_(places), max_waiting_(max_waiting), options_(options) {}
 
   // Enters a request of `cost` tokens. A waiter shed in its favour is added
   // to `shed`.
@@ -73,13 +82,14 @@
   };
 
   std::vector<uint64_t> StartWaiters();
+  double Beyond(const std::string& organisation) const;
   bool MayStart(const std::string& organisation) const;
   void Start(uint64_t id, const std::string& organisation);
   uint64_t LeastImportant() const;
 
   size_t places_;
   const size_t max_waiting_;
-  const double reserve_;
+  const FairQueueOptions options_;
   uint64_t last_id_ = 0;
   double virtual_time_ = 0;
   std::map<std::string, double> last_finish_;  // by organisation
