A member adds all the newcomers it hears from

Each proposed itself, one record each, and all but the first of those made from one epoch were rejected. Ruled out: the list of boxes as the source (it names the dead for a while, who would come and go); heartbeats between data centres no longer count as heard members, or boxes of others would be added. Change: a proposal also adds the boxes whose heartbeats came within half of dead_after, neither leaving nor taken out within dead_after; a box that was paused forgets who it had heard of outside the roster. Real daemons at 64: not run yet with this.

--- a/daemon/roster_keeper.cc
+++ b/daemon/roster_keeper.cc
@@ -95,16 +95,16 @@
     HeartbeatReply reply;
     bool answered =
         !node_->peers.CallFrame(member, FRAME_HEARTBEAT, heartbeat, &reply);
-    if (answered) TakeReply(reply);
+    if (!answered) continue;
+    node_->membership.Heard(reply.from(), reply.next_offset(), reply.leaving(),
+                            Clock::now());
+    TakeReply(reply);
   }
   if (node_->IsReader()) SendAcross(heartbeat);
 }
 
 void RosterKeeper::TakeReply(const HeartbeatReply& reply) {
-  TimePoint now = Clock::now();
-  node_->membership.Heard(reply.from(), reply.next_offset(), reply.leaving(),
-                          now);
-  node_->freshness.Heard(reply.next_offset(), now);
+  node_->freshness.Heard(reply.next_offset(), Clock::now());
   for (const RolloutTrip& trip : reply.trips()) {
     node_->guard.Trip(trip.rollout(), trip.reason());
   }
--- a/leverwick/membership.cc
+++ b/leverwick/membership.cc
@@ -30,23 +30,43 @@
   bool paused = now - last_tick_ > options_.dead_after / 2;
   last_tick_ = now;
   if (paused) {
-    for (auto& entry : peers_) entry.second.heard = now;
+    // Members may have been heard of meanwhile; who else is there is not known.
+    for (auto entry = peers_.begin(); entry != peers_.end();) {
+      bool member = Holds(roster_, entry->first);
+      if (member) entry->second.heard = now;
+      entry = member ? std::next(entry) : peers_.erase(entry);
+    }
   }
   if (roster.epoch() == roster_.epoch()) return;
+  NoteRemoved(roster, now);
   roster_ = roster;
   // A member seen for the first time has the full time to be heard.
   for (const Member& member : roster_.members()) {
-    peers_.emplace(member.life(), Peer{now, false});
+    peers_.emplace(member.life(), Peer{member, now, false});
+  }
+}
+
+void Membership::NoteRemoved(const Roster& next, TimePoint now) {
+  for (auto entry = removed_.begin(); entry != removed_.end();) {
+    bool over = now - entry->second >= options_.dead_after;
+    entry = over ? removed_.erase(entry) : std::next(entry);
+  }
+  for (const Member& member : roster_.members()) {
+    if (!Holds(next, member.life())) removed_[member.life()] = now;
   }
-  bool is_member = Holds(roster_, options_.self.life());
-  if (was_member_ && !is_member) removed_at_ = now;
-  was_member_ = is_member;
+}
+
+// A box that was removed waits, lest the roster change back and forth.
+bool Membership::IsDamped(const std::string& life, TimePoint now) const {
+  auto found = removed_.find(life);
+  return found != removed_.end() && now - found->second < options_.dead_after;
 }
 
 void Membership::Heard(const Member& from, uint64_t next_offset, bool leaving,
                        TimePoint now) {
   std::lock_guard<std::mutex> lock(mutex_);
   Peer& peer = peers_[from.life()];
+  peer.member = from;
   peer.heard = now;
   peer.leaving = leaving;
   uint64_t& offset = offsets_[LifeHash(from.life())];
@@ -109,6 +129,23 @@
   return now - found->second.heard > options_.dead_after;
 }
 
+// So many boxes that start at once need one record, not one each.
+bool Membership::AddNewcomers(RosterChange* change, TimePoint now) const {
+  bool added = false;
+  for (const auto& entry : peers_) {
+    const Peer& peer = entry.second;
+    bool known = Holds(roster_, entry.first) ||
+                 entry.first == options_.self.life() ||
+                 peer.member.address().empty();
+    bool fit = !peer.leaving && now - peer.heard <= options_.dead_after / 2 &&
+               !IsDamped(entry.first, now);
+    if (known || !fit) continue;
+    *change->add_members() = peer.member;
+    added = true;
+  }
+  return added;
+}
+
 std::optional<RosterChange> Membership::Propose(bool stopping, TimePoint now) {
   std::lock_guard<std::mutex> lock(mutex_);
   const std::string& self = options_.self.life();
@@ -129,12 +166,11 @@
     }
     *change.add_members() = member;
   }
-  // A box that others removed waits, lest the roster change back and forth.
-  bool damped = now - removed_at_ < options_.dead_after;
-  if (!is_member && !stopping && !damped) {
+  if (!is_member && !stopping && !IsDamped(self, now)) {
     *change.add_members() = options_.self;
     changed = true;
   }
+  if (!stopping && AddNewcomers(&change, now)) changed = true;
   if (!changed) return std::nullopt;
   return change;
 }
--- a/leverwick/membership.h
+++ b/leverwick/membership.h
@@ -70,11 +70,15 @@
 
  private:
   struct Peer {
+    Member member;
     TimePoint heard{};
     bool leaving = false;
   };
 
   bool IsSilent(const Member& member, TimePoint now) const;
+  bool IsDamped(const std::string& life, TimePoint now) const;
+  void NoteRemoved(const Roster& next, TimePoint now);
+  bool AddNewcomers(RosterChange* change, TimePoint now) const;
   bool SendsToUs(const Member& member) const;
   std::vector<Member> SuccessorsOf(const Member& member) const;
 
@@ -86,8 +90,7 @@
   std::map<std::string, TimePoint> listed_;  // last time in the list
   TimePoint list_read_{};
   TimePoint last_tick_{};
-  TimePoint removed_at_{};  // this box left the roster
-  bool was_member_ = false;
+  std::map<std::string, TimePoint> removed_;  // lives that left the roster
 };
 
 // The hash under which MemberSeen names a life.
--- a/leverwick/testing/membership_test.cc
+++ b/leverwick/testing/membership_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <string>
+#include <vector>
+
 #include "leverwick/freshness.h"
 #include "leverwick/slots.h"
 #include "leverwick/testing/table_builder.h"
@@ -185,5 +189,82 @@
   CHECK(TargetsOf("c", Roster()).empty());
 }
 
+Member MemberOf(const std::string& life) {
+  return MakeRoster(1, {life}).members(0);
+}
+
+TEST_CASE("a member adds the newcomers it hears from, but none that leaves") {
+  Membership membership(OptionsOf("a"));
+  Roster roster = MakeRoster(1, {"a"});
+  membership.Tick(roster, At(0));
+  membership.Heard(MemberOf("b"), 1, false, At(0.1));
+  membership.Heard(MemberOf("c"), 1, false, At(0.1));
+  membership.Heard(MemberOf("d"), 1, true, At(0.1));
+  CHECK(LivesOf(membership.Propose(false, At(0.2))) ==
+        std::vector<std::string>{"a", "b", "c"});
+  // Not a stopping box, and not those that fell silent meanwhile.
+  CHECK(LivesOf(membership.Propose(true, At(0.2))).empty());
+  membership.Tick(roster, At(1));
+  membership.Heard(MemberOf("c"), 1, false, At(1.9));
+  membership.Tick(roster, At(2));
+  CHECK(LivesOf(membership.Propose(false, At(2))) ==
+        std::vector<std::string>{"a", "c"});
+}
+
+TEST_CASE("a box that was taken out is not added again at once") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(0));
+  membership.Tick(MakeRoster(2, {"a"}), At(0.1));
+  membership.Heard(MemberOf("b"), 2, false, At(0.2));
+  CHECK(!membership.Propose(false, At(0.3)).has_value());
+  for (int i = 1; i <= 4; ++i) {
+    membership.Tick(MakeRoster(2, {"a"}), At(0.1 + i));
+    membership.Heard(MemberOf("b"), 2, false, At(0.1 + i));
+  }
+  CHECK(LivesOf(membership.Propose(false, At(4.2))).size() == 2);
+}
+
+TEST_CASE("a box that was paused adds nobody it heard of before") {
+  Membership membership(OptionsOf("a"));
+  membership.Tick(MakeRoster(1, {"a"}), At(0));
+  membership.Heard(MemberOf("b"), 1, false, At(0.1));
+  membership.Tick(MakeRoster(1, {"a"}), At(60));
+  CHECK(!membership.Propose(false, At(60)).has_value());
+}
+
+TEST_CASE("boxes that start together need few records") {
+  constexpr int kBoxes = 64;
+  std::vector<std::unique_ptr<Membership>> boxes;
+  for (int i = 0; i < kBoxes; ++i) {
+    std::string life = "box" + std::to_string(i);
+    boxes.push_back(std::make_unique<Membership>(OptionsOf(life)));
+  }
+  Roster roster;
+  roster.set_data_centre("dc1");
+  int records = 0;
+  // Every box beats once a second at a time of its own; the log is at once.
+  for (int beat = 0; beat < 10 && roster.members_size() < kBoxes; ++beat) {
+    for (int i = 0; i < kBoxes; ++i) {
+      TimePoint now = At(beat + static_cast<double>(i) / kBoxes);
+      auto index = static_cast<size_t>(i);
+      boxes[index]->Tick(roster, now);
+      for (const Member& target : boxes[index]->Targets()) {
+        size_t to = std::stoul(target.life().substr(3));
+        boxes[to]->Tick(roster, now);
+        boxes[to]->Heard(MemberOf("box" + std::to_string(i)), 1, false, now);
+      }
+      // A box proposes at its next beat, after it was heard.
+      if (beat == 0 && i > 0) continue;
+      std::optional<RosterChange> change = boxes[index]->Propose(false, now);
+      if (!change.has_value()) continue;
+      ++records;
+      roster.set_epoch(roster.epoch() + 1);
+      *roster.mutable_members() = change->members();
+    }
+  }
+  CHECK(roster.members_size() == kBoxes);
+  CHECK(records <= 3);
+}
+
 }  // namespace
 }  // namespace leverwick
