Boxes that start together come together, and none is taken out for what it was

While rosters differ, two boxes can take each other for the reader, and each waits at the other's tail for up to table.poll. And a member that begins to send to a box, because the ring changed, was judged by when that box had heard it long before, and taken out at once; logs of a slow start showed 26 members fall to 20 and come back.

--- a/daemon/table_reader.cc
+++ b/daemon/table_reader.cc
@@ -175,12 +175,16 @@
 bool TableReader::ServeTail(const TailRequest& request, TailReply* reply) {
   if (!node_->table_ready) return false;
   std::unique_lock<std::mutex> lock(mutex_);
-  changed_.wait_for(lock, milliseconds(request.wait_ms()), [&] {
+  // While rosters differ, two boxes may each take the other for the reader.
+  // Neither waits for the other then: only who reads the log lets others wait.
+  bool reads_log = node_->IsReader();
+  milliseconds wait(reads_log ? request.wait_ms() : 0);
+  changed_.wait_for(lock, wait, [&] {
     return node_->stopping || table_.next_offset() > request.from();
   });
   reply->set_next(table_.next_offset());
   Freshness::State state = node_->freshness.At(Clock::now());
-  reply->set_cut_off(state != Freshness::kFresh);
+  reply->set_cut_off(!reads_log || state != Freshness::kFresh);
   uint64_t first =
       recent_.empty() ? table_.next_offset() : recent_.front().offset();
   reply->set_first(first);
--- a/leverwick/membership.cc
+++ b/leverwick/membership.cc
@@ -6,6 +6,7 @@
 #include "leverwick/membership.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "leverwick/digest.h"
 
@@ -40,9 +41,16 @@
   if (roster.epoch() == roster_.epoch()) return;
   NoteRemoved(roster, now);
   roster_ = roster;
-  // A member seen for the first time has the full time to be heard.
+  // One that is seen for the first time, or sends to this box since this
+  // roster, has the full time to be heard.
+  std::set<std::string> judged_before;
+  judged_before.swap(judged_);
   for (const Member& member : roster_.members()) {
-    peers_.emplace(member.life(), Peer{member, now, false});
+    Peer& peer =
+        peers_.emplace(member.life(), Peer{member, now, false}).first->second;
+    if (!SendsToUs(member)) continue;
+    judged_.insert(member.life());
+    if (judged_before.count(member.life()) == 0) peer.heard = now;
   }
 }
 
--- a/leverwick/membership.h
+++ b/leverwick/membership.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,7 @@
   mutable std::mutex mutex_;
   Roster roster_;
   std::map<std::string, Peer> peers_;        // by life
+  std::set<std::string> judged_;             // members that send to this box
   std::map<uint32_t, uint64_t> offsets_;     // by hash of life
   std::map<std::string, TimePoint> listed_;  // last time in the list
   TimePoint list_read_{};
--- a/leverwick/testing/membership_test.cc
+++ b/leverwick/testing/membership_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -232,6 +233,40 @@
   CHECK(!membership.Propose(false, At(60)).has_value());
 }
 
+TEST_CASE("a member that sends to this box only now is not silent yet") {
+  std::vector<std::string> all;
+  for (int i = 0; i < 9; ++i) all.push_back("box" + std::to_string(i));
+  // Among the six first, somebody sends to box0 who no longer does among all.
+  std::vector<std::string> few(all.begin(), all.begin() + 6);
+  auto sends = [](const std::string& life, const Roster& roster) {
+    std::vector<std::string> targets = TargetsOf(life, roster);
+    return std::count(targets.begin(), targets.end(), "box0") > 0;
+  };
+  std::string changing;
+  for (const std::string& life : few) {
+    bool stops =
+        sends(life, MakeRoster(1, few)) && !sends(life, MakeRoster(1, all));
+    if (stops) changing = life;
+  }
+  REQUIRE(!changing.empty());
+  Membership membership(OptionsOf("box0"));
+  auto beat = [&](uint64_t epoch, const std::vector<std::string>& lives,
+                  double from, double until) {
+    Roster roster = MakeRoster(epoch, lives);
+    for (double at = from; at < until; at += 0.5) {
+      membership.Tick(roster, At(at));
+      for (const std::string& life : lives) {
+        if (!sends(life, roster)) continue;
+        membership.Heard(MemberOf(life), epoch, false, At(at));
+      }
+    }
+  };
+  beat(1, few, 0, 2);
+  beat(2, all, 2, 10);
+  membership.Tick(MakeRoster(3, few), At(10));
+  CHECK(!membership.Propose(false, At(10.1)).has_value());
+}
+
 TEST_CASE("boxes that start together need few records") {
   constexpr int kBoxes = 64;
   std::vector<std::unique_ptr<Membership>> boxes;
