Estimates are exchanged at a bounded rate of bytes

Cause: every five seconds a box sent the sums of all lives to its targets. At the two-year size that is 26 lives of 13 versions and some 6 classes, about 200 KB a message (on paper), 120 KB/s, and no measurement varied it. Ruled out: sending only what changed (all lives' sums change all the time). The exchange at the target's size was not run. Conclusion: bounded; at the target estimates spread in minutes, and a sum a data centre instead of one a life would be the next step.

--- a/daemon/roster_keeper.cc
+++ b/daemon/roster_keeper.cc
@@ -1,7 +1,8 @@
 // Within a data centre heartbeats go to the next few members of the ring.
 // Between data centres only the reader of each sends, to one box in a few
 // others, so that nothing is all-to-all at any size. Guard sums and trips ride
-// on every heartbeat; estimates, which are larger, on every tenth or so.
+// on every heartbeat; estimates, which are larger, now and then, at a bounded
+// rate of bytes.
 
 #include "daemon/roster_keeper.h"
 
@@ -16,7 +17,6 @@
 namespace {
 
 const Log log_("roster");
-constexpr Seconds kSumsInterval(5.0);
 constexpr Seconds kTripRetry(1.0);
 // Other data centres that hear from the reader at each beat.
 constexpr size_t kAcrossFanout = 2;
@@ -89,9 +89,13 @@
 void RosterKeeper::SendHeartbeats() {
   TimePoint now = Clock::now();
   bool with_sums = now >= next_sums_;
-  if (with_sums) next_sums_ = now + FromSeconds(kSumsInterval.count());
   Heartbeat heartbeat = MakeHeartbeat(with_sums);
-  for (const Member& member : node_->membership.Targets()) {
+  std::vector<Member> targets = node_->membership.Targets();
+  if (with_sums) {
+    size_t bytes = heartbeat.ByteSizeLong();
+    next_sums_ = now + FromSeconds(SumsInterval(bytes, targets.size()).count());
+  }
+  for (const Member& member : targets) {
     HeartbeatReply reply;
     bool answered =
         !node_->peers.CallFrame(member, FRAME_HEARTBEAT, heartbeat, &reply);
--- a/leverwick/estimates.cc
+++ b/leverwick/estimates.cc
@@ -19,6 +19,8 @@
 constexpr double kShortestLatency = 1e-4;  // seconds
 // Other lives kept; the ones with the fewest answers go first.
 constexpr size_t kMostLives = 64;
+constexpr Seconds kLeastSumsInterval(5.0);
+constexpr double kSumsBytesPerSecond = 1000;  // of one box, to all receivers
 
 void AddTo(const VersionSum& from, VersionSum* to) {
   to->set_answers(to->answers() + from.answers());
@@ -122,6 +124,12 @@
   ++own_version_;
 }
 
+Seconds SumsInterval(size_t bytes, size_t receivers) {
+  double sent = static_cast<double>(bytes) * static_cast<double>(receivers);
+  return Seconds(
+      std::max(kLeastSumsInterval.count(), sent / kSumsBytesPerSecond));
+}
+
 void Estimates::Merge(const LifeSums& sums) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (sums.life() == life_) return;
--- a/leverwick/estimates.h
+++ b/leverwick/estimates.h
@@ -58,6 +58,10 @@
   double ratings = 0;  // that this rests on
 };
 
+// The time until sums of `bytes` may be sent again to so many receivers: often
+// while they are small, and never more than a fixed rate of bytes.
+Seconds SumsInterval(size_t bytes, size_t receivers);
+
 // Thread-safe.
 class Estimates {
  public:
--- a/leverwick/testing/decisions_test.cc
+++ b/leverwick/testing/decisions_test.cc
@@ -14,6 +14,15 @@
 namespace leverwick {
 namespace {
 
+TEST_CASE("sums go often while small, and within a rate of bytes when large") {
+  CHECK(SumsInterval(100, 3) == Seconds(5));
+  CHECK(SumsInterval(0, 0) == Seconds(5));
+  // 26 lives with 13 versions and 6 classes of 100 bytes.
+  size_t large = 26 * 13 * 6 * 100;
+  double seconds = SumsInterval(large, 3).count();
+  CHECK(static_cast<double>(large) * 3 / seconds <= 1000);
+}
+
 TEST_CASE("candidates are just the versions that may serve") {
   TableBuilder site = TableBuilder::Site();
   const char* const states[] = {"stable", "candidate", "draining", "withdrawn"};
