A product in a test is computed in its own type

Cause: the linter failed on a fresh clone: int multiplied, then widened, in the test of the rate of sums; the linter had not run after that test was written. Ruled out: other findings: it was the only one. Change: named constants of the right type; the test is the same.

--- a/leverwick/testing/decisions_test.cc
+++ b/leverwick/testing/decisions_test.cc
@@ -17,10 +17,12 @@
 TEST_CASE("sums go often while small, and within a rate of bytes when large") {
   CHECK(SumsInterval(100, 3) == Seconds(5));
   CHECK(SumsInterval(0, 0) == Seconds(5));
-  // 26 lives with 13 versions and 6 classes of 100 bytes.
-  size_t large = 26 * 13 * 6 * 100;
-  double seconds = SumsInterval(large, 3).count();
-  CHECK(static_cast<double>(large) * 3 / seconds <= 1000);
+  constexpr size_t kLives = 26;
+  constexpr size_t kSumsOfALife = 78;  // 13 versions, 6 classes
+  constexpr size_t kBytesOfASum = 100;
+  constexpr size_t kLarge = kLives * kSumsOfALife * kBytesOfASum;
+  double seconds = SumsInterval(kLarge, 3).count();
+  CHECK(static_cast<double>(kLarge) * 3 / seconds <= 1000);
 }
 
 TEST_CASE("candidates are just the versions that may serve") {
