An older life at a member's address is not added; a copy counts when it is held

A box that restarts quickly may be heard of under its old life just before its new one joins; the old one would have been added beside it, and dead lives in a roster stall slots. A caller that woke late after a failed copy looked at the last failure only, and could count a copy that was not there. Ruled out: dropping the member instead: which life is the older can't be told. Change: a newcomer whose address the roster holds is left to propose itself; a stream keeps the highest number that its peer accepted. The count of copies has no test of its own: it feeds a metric.

--- a/daemon/copy_stream.cc
+++ b/daemon/copy_stream.cc
@@ -47,7 +47,7 @@
   if (number == 0) return false;
   std::unique_lock<std::mutex> lock(mutex_);
   changed_.wait(lock, [&] { return stopped_ || answered_ >= number; });
-  return answered_ >= number && last_failed_ != number;
+  return held_ >= number;
 }
 
 bool CopyStream::caught_up() const {
@@ -107,7 +107,8 @@
     }
     failing_ = !good;
     answered_ = number;
-    if (!good) last_failed_ = number;
+    // A later message that came holds what an earlier one lost.
+    if (good) held_ = number;
     changed_.notify_all();
     if (!good) changed_.wait_for(lock, pause, [this] { return stopped_; });
   }
--- a/daemon/copy_stream.h
+++ b/daemon/copy_stream.h
@@ -52,7 +52,7 @@
   uint64_t next_number_ = 1;  // of the message being gathered
   uint64_t awaited_ = 0;      // highest number that Add has returned
   uint64_t answered_ = 0;
-  uint64_t last_failed_ = 0;
+  uint64_t held_ = 0;     // highest number that the peer has accepted
   bool failing_ = false;  // the last messages failed
   bool stopped_ = false;
   std::thread thread_;
--- a/leverwick/membership.cc
+++ b/leverwick/membership.cc
@@ -20,6 +20,13 @@
   return false;
 }
 
+bool HoldsAddress(const RosterChange& change, const std::string& address) {
+  for (const Member& member : change.members()) {
+    if (member.address() == address) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 uint32_t LifeHash(const std::string& life) {
@@ -137,17 +144,18 @@
   return now - found->second.heard > options_.dead_after;
 }
 
-// So many boxes that start at once need one record, not one each.
+// So many boxes that start at once need one record, not one each. A life at an
+// address that is taken is left to itself: it may be the older of the two.
 bool Membership::AddNewcomers(RosterChange* change, TimePoint now) const {
   bool added = false;
   for (const auto& entry : peers_) {
     const Peer& peer = entry.second;
     bool known = Holds(roster_, entry.first) ||
                  entry.first == options_.self.life() ||
-                 peer.member.address().empty();
+                 HoldsAddress(*change, peer.member.address());
     bool fit = !peer.leaving && now - peer.heard <= options_.dead_after / 2 &&
                !IsDamped(entry.first, now);
-    if (known || !fit) continue;
+    if (known || !fit || peer.member.address().empty()) continue;
     *change->add_members() = peer.member;
     added = true;
   }
--- a/leverwick/testing/membership_test.cc
+++ b/leverwick/testing/membership_test.cc
@@ -212,6 +212,15 @@
         std::vector<std::string>{"a", "c"});
 }
 
+TEST_CASE("a life that was at a member's address before is not added") {
+  Membership membership(OptionsOf("a"));
+  Member old = MemberOf("b");
+  old.set_life("b-old");
+  membership.Tick(MakeRoster(1, {"a", "b"}), At(0));
+  membership.Heard(old, 1, false, At(0.1));
+  CHECK(!membership.Propose(false, At(0.2)).has_value());
+}
+
 TEST_CASE("a box that was taken out is not added again at once") {
   Membership membership(OptionsOf("a"));
   membership.Tick(MakeRoster(1, {"a", "b"}), At(0));
