--- a/app/leverwickd.cc
+++ b/app/leverwickd.cc
@@ -4,16 +4,22 @@
 //   leverwickd --config etc/box.yaml --check    check the settings and exit
 //   leverwickd --config etc/box.yaml --print-settings
 //
+// `platform.kind` decides what it runs as: the product's own daemon before a
+// log service, or a relay before a store of keyed records. SIGTERM and SIGINT
+// begin a planned stop; SIGHUP makes a relay read its settings again.
+//
 // Exit codes: 0 a planned stop that cut nothing, 1 it could not start, 2 the
 // settings are not valid, 3 the stop cut requests at its bound.
 
 #include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <iostream>
 
 #include "app/stop_signal.h"
 #include "daemon/daemon.h"
 #include "net/log.h"
 #include "net/settings.h"
+#include "platform/front.h"
 
 namespace {
 
@@ -37,6 +43,54 @@
   return daemon.Stop() == 0 ? 0 : kCutRequests;
 }
 
+// Runs a relay on this thread's event loop until it has stopped.
+class RelayProcess {
+ public:
+  RelayProcess(const leverwick::DaemonSettings& settings, std::string file)
+      : file_(std::move(file)),
+        front_(&loop_, settings),
+        signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
+
+  int Run() {
+    if (front_.Start()) return kCantStart;
+    AwaitSignal();
+    loop_.run();
+    return cut_ == 0 ? 0 : kCutRequests;
+  }
+
+ private:
+  void AwaitSignal() {
+    signals_.async_wait([this](auto error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        Reload();
+      } else {
+        front_.Stop([this](int cut) {
+          cut_ = cut;
+          loop_.stop();
+        });
+      }
+      AwaitSignal();
+    });
+  }
+
+  void Reload() {
+    leverwick::DaemonSettings settings;
+    auto report = leverwick::LoadSettings(file_, &settings);
+    for (const std::string& problem : report.problems) {
+      kLog.Error("Settings stay as they were.", {{"problem", problem}});
+    }
+    if (report.problems.empty()) front_.Reload(settings);
+  }
+
+  const leverwick::Log kLog{"process"};
+  const std::string file_;
+  boost::asio::io_context loop_{1};
+  leverwick::platform::Front front_;
+  boost::asio::signal_set signals_;
+  int cut_ = 0;
+};
+
 int Run(const Options& options) {
   leverwick::DaemonSettings settings;
   if (options.reference) {
@@ -58,7 +112,10 @@
     std::cout << options.config << ": valid\n";
     return 0;
   }
-  return Serve(settings);
+  if (settings.platform().kind() != "keyed_store") return Serve(settings);
+  signal(SIGPIPE, SIG_IGN);
+  leverwick::StartLogging(settings.log());
+  return RelayProcess(settings, options.config).Run();
 }
 
 }  // namespace
--- /dev/null
+++ b/daemon/relay.cc
@@ -0,0 +1,115 @@
+// Refusals come in the order in which a caller can do something about them:
+// malformed, not ready, no such route, no proof, no such key.
+
+#include "daemon/relay.h"
+
+#include "daemon/relayed_request.h"
+#include "net/log.h"
+
+namespace leverwick {
+namespace {
+
+const Log kLog("relay");
+
+// A caller that came before the box was ready, or to a box that can't prove
+// its configuration: another box may take it at once.
+constexpr milliseconds kComeBackElsewhere{100};
+
+}  // namespace
+
+Relay::Relay(boost::asio::io_context* loop, const Dialect* dialect,
+             const RelayOptions& options)
+    : loop_(loop),
+      dialect_(dialect),
+      options_(options),
+      directory_(&pool_),
+      proof_(options.proof_age),
+      rollouts_(options.rollout),
+      estimates_(options.life),
+      guard_(options.life),
+      connections_(loop, options.connections),
+      random_(std::random_device{}()) {}
+
+Relay::~Relay() = default;
+
+bool Relay::SetConfig(ServiceConfig config) {
+  if (config_ != nullptr && config.version() <= config_->version()) {
+    return false;
+  }
+  kLog.Info("Configuration in force.",
+            {{"version", std::to_string(config.version())},
+             {"before", config_ == nullptr
+                            ? "none"
+                            : std::to_string(config_->version())},
+             {"routes", std::to_string(config.routes().size())}});
+  config_ = std::make_shared<const ServiceConfig>(std::move(config));
+  return true;
+}
+
+Result Relay::Admit(const ServiceRoute& route, const CallerRequest& request,
+                    TimePoint now, KeyHolder* holder) const {
+  if (!route.needs_key || !config_->has_keys()) return Result::kOk;
+  if (!proof_.HoldsAt(now)) return Result::kStaleTable;
+  const KeyHolder* found = config_->FindKey(request.key);
+  if (request.key.empty() || found == nullptr) return Result::kBadKey;
+  *holder = *found;
+  return Result::kOk;
+}
+
+void Relay::Handle(const std::shared_ptr<ServerExchange>& exchange) {
+  TimePoint now = exchange->received();
+  CallerRequest request;
+  bool readable = dialect_->ReadRequest(exchange->head(), &request);
+  if (!readable) return Refuse(exchange, "", Result::kBadRequest, {});
+  if (config_ == nullptr) {
+    return Refuse(exchange, request.id, Result::kNotReady, kComeBackElsewhere);
+  }
+  const ServiceRoute* route = config_->FindRoute(request.host, request.path);
+  if (route == nullptr) {
+    // Without a proof the route may have been added meanwhile.
+    bool known = proof_.HoldsAt(now);
+    Result result = known ? Result::kUnknownPath : Result::kStaleTable;
+    return Refuse(exchange, request.id, result, kComeBackElsewhere);
+  }
+  KeyHolder holder;
+  Result admitted = Admit(*route, request, now, &holder);
+  if (admitted != Result::kOk) {
+    return Refuse(exchange, request.id, admitted, kComeBackElsewhere);
+  }
+  auto relayed = std::make_shared<RelayedRequest>(
+      this, exchange, std::move(request), *route, std::move(holder));
+  open_.insert(relayed);
+  relayed->Start();
+}
+
+void Relay::Refuse(const std::shared_ptr<ServerExchange>& exchange,
+                   const std::string& request_id, Result result,
+                   std::optional<milliseconds> come_back_after) {
+  const ResultInfo& info = Info(result);
+  bool may_come_back = info.http_status == 503 || info.http_status == 429;
+  if (!may_come_back) come_back_after.reset();
+  metrics_.Add("leverwick_refused_total",
+               std::string("result=\"") + info.name + "\"", 1);
+  kLog.Info("Request is refused.",
+            {{"request", request_id},
+             {"result", info.name},
+             {"config", config_ == nullptr
+                            ? "none"
+                            : std::to_string(config_->version())},
+             {"proof_age_ms",
+              std::to_string(std::chrono::duration_cast<milliseconds>(
+                                 proof_.AgeAt(Clock::now()))
+                                 .count())}});
+  exchange->Answer(dialect_->Refusal(result, request_id, come_back_after), "");
+}
+
+RetryBudget* Relay::BudgetOf(const std::string& service) {
+  auto& budget = budgets_[service];
+  if (budget == nullptr) {
+    budget = std::make_unique<RetryBudget>(
+        options_.retry_share, options_.retry_start, options_.retry_most);
+  }
+  return budget.get();
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/daemon/relay.h
@@ -0,0 +1,105 @@
+// Takes callers' requests, finds an endpoint for each and passes answers back.
+//
+// The same relay serves whatever interface a Dialect reads: it routes by the
+// ServiceConfig in force, refuses keyed work without a proof that the
+// configuration is current, and hands each request to a RelayedRequest, which
+// carries it to its end. One thread runs it all.
+//
+//   Relay relay(&loop, &dialect, options);
+//   relay.SetConfig(config);
+//   server handler: relay.Handle(exchange);
+
+#ifndef DAEMON_RELAY_H_
+#define DAEMON_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "daemon/dialect.h"
+#include "daemon/endpoint_directory.h"
+#include "leverwick/endpoints.h"
+#include "leverwick/estimates.h"
+#include "leverwick/guard.h"
+#include "leverwick/read_proof.h"
+#include "leverwick/retry_budget.h"
+#include "leverwick/service_config.h"
+#include "leverwick/service_rollouts.h"
+#include "net/async_http_client.h"
+#include "net/async_http_server.h"
+#include "net/metrics.h"
+
+namespace leverwick {
+
+class RelayedRequest;
+
+struct RelayOptions {
+  std::string life;         // names this box's life in sums and logs
+  std::string data_centre;  // of this box
+  nanoseconds proof_age{0};  // oldest proof that keyed work is taken on
+  double retry_share = 0.6;  // sends beyond a request's first, of requests
+  double retry_start = 2;    // saved up by a box that has just started
+  double retry_most = 5;     // saved up by a quiet box
+  RolloutOptions rollout;
+  HttpConnectionsOptions connections;
+};
+
+class Relay {
+ public:
+  Relay(boost::asio::io_context* loop, const Dialect* dialect,
+        const RelayOptions& options);
+  ~Relay();
+
+  void Handle(const std::shared_ptr<ServerExchange>& exchange);
+
+  // Replaces the configuration; one that is not newer changes nothing.
+  bool SetConfig(ServiceConfig config);
+  const std::shared_ptr<const ServiceConfig>& config() const {
+    return config_;
+  }
+
+  // What the adapter feeds.
+  ReadProof* proof() { return &proof_; }
+  EndpointDirectory* directory() { return &directory_; }
+  ServiceRollouts* rollouts() { return &rollouts_; }
+
+  Metrics* metrics() { return &metrics_; }
+  size_t open_requests() const { return open_.size(); }
+
+ private:
+  friend class RelayedRequest;
+
+  struct ServiceBudget;
+
+  void Refuse(const std::shared_ptr<ServerExchange>& exchange,
+              const std::string& request_id, Result result,
+              std::optional<milliseconds> come_back_after);
+  // Whether the request may be taken by its key; fills in its holder.
+  Result Admit(const ServiceRoute& route, const CallerRequest& request,
+               TimePoint now, KeyHolder* holder) const;
+  RetryBudget* BudgetOf(const std::string& service);
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+
+  boost::asio::io_context* const loop_;
+  const Dialect* const dialect_;
+  const RelayOptions options_;
+  std::shared_ptr<const ServiceConfig> config_;
+  EndpointPool pool_;
+  EndpointDirectory directory_;
+  ReadProof proof_;
+  ServiceRollouts rollouts_;
+  Estimates estimates_;
+  Guard guard_;
+  HttpConnections connections_;
+  Metrics metrics_;
+  std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
+  std::set<std::shared_ptr<RelayedRequest>> open_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace leverwick
+
+#endif  // DAEMON_RELAY_H_
--- /dev/null
+++ b/daemon/relay_server.cc
@@ -0,0 +1,107 @@
+// The platform asks for readiness once a second and takes a box out after two
+// misses, so new connections come for some time after a stop has begun; they
+// are served like the others.
+
+#include "daemon/relay_server.h"
+
+#include <algorithm>
+
+#include "net/log.h"
+
+namespace leverwick {
+namespace {
+
+const Log kLog("server");
+
+// Two missed questions, a second apart, and the way of a last connection.
+constexpr milliseconds kNewConnectionsEnd{2600};
+// What is left of the stop's bound for ending the process itself.
+constexpr milliseconds kEndMargin{350};
+// How often a stopping box looks whether it is quiet.
+constexpr milliseconds kQuietInterval{50};
+
+}  // namespace
+
+RelayServer::RelayServer(boost::asio::io_context* loop, Relay* relay,
+                         const RelayServerOptions& options, ReadyTest ready)
+    : loop_(loop),
+      relay_(relay),
+      options_(options),
+      ready_test_(std::move(ready)),
+      callers_(loop,
+               [relay](const auto& exchange) { relay->Handle(exchange); }),
+      ready_(loop,
+             [this](const auto& exchange) { AnswerReady(exchange.get()); }),
+      metrics_(loop,
+               [this](const auto& exchange) { AnswerMetrics(exchange.get()); }),
+      stop_timer_(*loop) {}
+
+std::error_code RelayServer::ListenAt(AsyncHttpServer* server,
+                                      const std::string& address) {
+  if (address.empty()) return {};
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::error_code error = Result::kInvalidSettings;
+  if (ParseAddress(address, &endpoint)) error = server->Listen(endpoint);
+  if (error) {
+    kLog.Error("Can't listen.",
+               {{"address", address}, {"why", error.message()}});
+  }
+  return error;
+}
+
+std::error_code RelayServer::Start() {
+  if (auto error = ListenAt(&ready_, options_.ready)) return error;
+  if (auto error = ListenAt(&metrics_, options_.metrics)) return error;
+  return ListenAt(&callers_, options_.callers);
+}
+
+void RelayServer::SetLimits(const CallerLimits& limits) {
+  HttpServerLimits server;
+  server.head_bytes = limits.head_bytes;
+  server.body_bytes = limits.body_bytes;
+  server.head_time = limits.head_time;
+  server.idle_time = limits.idle_time;
+  callers_.SetLimits(server);
+}
+
+void RelayServer::AnswerReady(ServerExchange* exchange) {
+  HttpHead head;
+  head.status = !stopping_ && ready_test_() ? 200 : 503;
+  exchange->Answer(std::move(head), "");
+}
+
+void RelayServer::AnswerMetrics(ServerExchange* exchange) {
+  HttpHead head;
+  head.status = 200;
+  head.Set("Content-Type", "text/plain; version=0.0.4");
+  exchange->Answer(std::move(head), relay_->metrics()->Text());
+}
+
+void RelayServer::Stop(std::function<void(int)> done) {
+  if (stopping_) return;
+  kLog.Info("Planned stop begins.",
+            {{"open_requests", std::to_string(callers_.open_requests())},
+             {"connections", std::to_string(callers_.connections())}});
+  stopping_ = true;
+  stopped_ = std::move(done);
+  stop_began_ = Clock::now();
+  callers_.Drain();
+  CheckQuiet();
+}
+
+void RelayServer::CheckQuiet() {
+  auto took = Clock::now() - stop_began_;
+  bool quiet = took > kNewConnectionsEnd && callers_.open_requests() == 0 &&
+               callers_.connections() == 0;
+  if (quiet || took > options_.stop_bound - kEndMargin) {
+    auto cut = static_cast<int>(callers_.open_requests());
+    kLog.Info("Planned stop ends.", {{"cut_requests", std::to_string(cut)}});
+    return stopped_(cut);
+  }
+  stop_timer_.expires_after(kQuietInterval);
+  stop_timer_.async_wait([this](auto error) {
+    if (!error) CheckQuiet();
+  });
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/daemon/relay_server.h
@@ -0,0 +1,74 @@
+// The sockets of a relay and its planned stop.
+//
+// Callers come in at one address; at a second one the platform asks whether
+// this box takes new connections; at a third, metrics are read. A planned stop
+// says "not ready" at once, goes on serving what comes on open and on late
+// connections, and ends when all is quiet or shortly before its bound.
+//
+//   RelayServer server(&loop, &relay, options);
+//   std::error_code error = server.Start();
+//   server.SetReady(true);
+//   server.Stop([](int cut) {...});
+
+#ifndef DAEMON_RELAY_SERVER_H_
+#define DAEMON_RELAY_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "daemon/relay.h"
+#include "net/async_http_server.h"
+
+namespace leverwick {
+
+struct RelayServerOptions {
+  std::string callers;  // ip:port
+  std::string ready;    // ip:port, or empty
+  std::string metrics;  // ip:port, or empty
+  milliseconds stop_bound{8000};
+};
+
+class RelayServer {
+ public:
+  // Whether this box should get new connections now, but for a stop.
+  using ReadyTest = std::function<bool()>;
+
+  RelayServer(boost::asio::io_context* loop, Relay* relay,
+              const RelayServerOptions& options, ReadyTest ready);
+
+  std::error_code Start();
+
+  // Callers' limits follow the configuration in force.
+  void SetLimits(const CallerLimits& limits);
+
+  // Begins a planned stop; `done` gets the number of requests that were cut.
+  void Stop(std::function<void(int cut)> done);
+  bool stopping() const { return stopping_; }
+
+ private:
+  std::error_code ListenAt(AsyncHttpServer* server,
+                           const std::string& address);
+  void AnswerReady(ServerExchange* exchange);
+  void AnswerMetrics(ServerExchange* exchange);
+  void CheckQuiet();
+
+  boost::asio::io_context* const loop_;
+  Relay* const relay_;
+  const RelayServerOptions options_;
+  const ReadyTest ready_test_;
+  AsyncHttpServer callers_;
+  AsyncHttpServer ready_;
+  AsyncHttpServer metrics_;
+  boost::asio::steady_timer stop_timer_;
+  std::function<void(int)> stopped_;
+  bool stopping_ = false;
+  TimePoint stop_began_{};
+};
+
+}  // namespace leverwick
+
+#endif  // DAEMON_RELAY_SERVER_H_
--- /dev/null
+++ b/daemon/relayed_request.cc
@@ -0,0 +1,376 @@
+// The caller learns "not run" only from AnswerNotRun, which is reached only
+// while no byte of the request left this box or each endpoint that got it
+// said that it did not run it.
+
+#include "daemon/relayed_request.h"
+
+#include <algorithm>
+
+#include "leverwick/digest.h"
+#include "net/log.h"
+
+namespace leverwick {
+namespace {
+
+const Log kLog("request");
+
+// What an answer needs to reach the caller before it stops waiting.
+constexpr milliseconds kReturnTime{20};
+// A try with less time than this is not begun: it could not be answered.
+constexpr milliseconds kLeastTime{30};
+// Of a caller that names no time on a route without a limit.
+constexpr milliseconds kLongestHold{60000};
+// Endpoints that could not be reached are not counted as attempts; this
+// bounds how many a request looks for.
+constexpr int kMostDispatches = 6;
+// A caller that reads slower than its endpoint writes stops the reading.
+constexpr size_t kMostPending = 256 * 1024;
+// When to come back if every endpoint was full or none could be reached: the
+// pool drains some requests in this time.
+constexpr milliseconds kComeBackAfter{250};
+// A target version is bad if this many more of its answers fail, or if they
+// take this many times as long; a version with cold caches takes up to twice
+// as long at first.
+const GuardLimits kRolloutLimits{0.15, 1.0, 5.0};
+
+uint32_t EvidenceClass(const ServiceRoute& route) {
+  return static_cast<uint32_t>(StableHash(route.name));
+}
+
+std::string VersionKeyOf(const std::string& service,
+                         const std::string& version) {
+  return service + "@" + version;
+}
+
+// An answer that promises the request was not run, by its status alone.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+RelayedRequest::RelayedRequest(Relay* relay,
+                               std::shared_ptr<ServerExchange> exchange,
+                               CallerRequest request,
+                               const ServiceRoute& route, KeyHolder holder)
+    : relay_(relay),
+      exchange_(std::move(exchange)),
+      request_(std::move(request)),
+      config_(relay->config_),
+      route_(route),
+      holder_(std::move(holder)),
+      service_(PickService(route, relay->Draw())),
+      timer_(*relay->loop_),
+      log_(route.repeatable(), std::max(1, route.max_attempts)) {}
+
+void RelayedRequest::Start() {
+  auto self = shared_from_this();
+  milliseconds hold = route_.timeout.count() > 0 ? route_.timeout
+                                                 : kLongestHold;
+  if (request_.patience) {
+    hold = std::min(hold, *request_.patience - kReturnTime);
+  }
+  deadline_ = exchange_->received() + hold;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([self](auto error) {
+    if (!error) self->OnTimeUp();
+  });
+  exchange_->OnLeft([self] { self->OnCallerLeft(); });
+  exchange_->OnDrained([self] {
+    if (self->try_ && self->try_->call) self->try_->call->ResumeReading();
+  });
+  relay_->BudgetOf(service_)->Count();
+  Dispatch();
+}
+
+milliseconds RelayedRequest::TimeLeft(TimePoint now) const {
+  return std::chrono::duration_cast<milliseconds>(deadline_ - now);
+}
+
+uint64_t RelayedRequest::Affinity() const {
+  // The last part of a prompt is the request's own; the one before it is
+  // shared, and an endpoint that read it holds all parts before it as well.
+  if (request_.prompt.size() >= 2) {
+    return StableHash(request_.prompt[request_.prompt.size() - 2].id);
+  }
+  return StableHash(request_.id);
+}
+
+std::string RelayedRequest::ChooseEndpoint() {
+  TimePoint now = Clock::now();
+  auto side = relay_->rollouts_.SideFor(
+      service_, request_.session.empty() ? request_.id : request_.session, now);
+  std::string target = relay_->rollouts_.TargetOf(service_);
+  using Side = ServiceRollouts::Side;
+  auto pick = [&](Side wanted) {
+    return relay_->pool_
+        .Pick(service_, Affinity(), tried_, now,
+              [&](const ListedEndpoint& endpoint) {
+                return wanted == Side::kAny ||
+                       (endpoint.version == target) == (wanted == Side::kTarget);
+              })
+        .address;
+  };
+  std::string endpoint = pick(side);
+  // A version without endpoints of its own leaves its requests to the other,
+  // but nothing new goes to a target that is bad.
+  bool target_is_good = relay_->rollouts_.IsWatched(service_);
+  if (endpoint.empty() && (side == Side::kTarget || target_is_good)) {
+    endpoint = pick(Side::kAny);
+  }
+  return endpoint;
+}
+
+void RelayedRequest::Dispatch() {
+  if (finished_) return;
+  std::string chosen = ChooseEndpoint();
+  const DirectoryEntry* endpoint = relay_->directory_.Find(chosen);
+  ++dispatches_;
+  if (endpoint != nullptr) return SendTo(*endpoint);
+  if (stream_started_) {
+    exchange_->BreakOff();
+    return Finish("stream_broken");
+  }
+  if (!log_.may_have_run()) return AnswerNotRun(Result::kNoEndpoint);
+  if (failure_) return PassAnswer(failure_->first, failure_->second);
+  AnswerOwn(Result::kUnknownOutcome);
+}
+
+void RelayedRequest::SendTo(const DirectoryEntry& endpoint) {
+  tried_.insert(endpoint.id);
+  log_.Sent();
+  relay_->pool_.Started(endpoint.id);
+  try_.emplace();
+  try_->endpoint = endpoint.id;
+  try_->version = endpoint.version;
+  try_->sent_at = Clock::now();
+  try_->call =
+      relay_->connections_.Send(endpoint.address, RequestFor(endpoint), this);
+}
+
+std::string RelayedRequest::RequestFor(const DirectoryEntry& endpoint) const {
+  EndpointOrder order;
+  order.endpoint = endpoint.id;
+  order.organisation = holder_.organisation;
+  order.time_left = std::max(TimeLeft(Clock::now()), milliseconds(1));
+  order.last_event_id = events_.last_id();
+  if (request_.any_model && !route_.models.empty()) {
+    order.model = route_.models.back();
+  }
+  HttpHead head = relay_->dialect_->ToEndpoint(exchange_->head(), order);
+  const std::string& body = exchange_->body();
+  bool has_body = !body.empty() || exchange_->head().has_length;
+  if (has_body) head.Set("Content-Length", std::to_string(body.size()));
+  return RequestText(head) + body;
+}
+
+bool RelayedRequest::OnAnswerHead(const HttpHead& head) {
+  AnswerHead answer = relay_->dialect_->ReadAnswer(head);
+  if (answer.request_id != request_.id) {
+    relay_->metrics_.Add("leverwick_surplus_answers_total", "", 1);
+    kLog.Warning("An answer of another request is dropped.",
+                 {{"request", request_.id},
+                  {"endpoint", try_->endpoint},
+                  {"answers", answer.request_id}});
+    return false;
+  }
+  try_->has_head = true;
+  try_->answer = answer;
+  try_->head = head;
+  try_->streams =
+      answer.succeeded() && answer.signed_whole && answer.event_stream;
+  return true;
+}
+
+void RelayedRequest::OnAnswerBody(std::string_view bytes) {
+  if (try_->streams) return PassEvents(bytes);
+  try_->body.append(bytes);
+}
+
+void RelayedRequest::PassEvents(std::string_view bytes) {
+  std::string whole = events_.Add(bytes);
+  if (whole.empty()) return;
+  if (!stream_started_) {
+    stream_started_ = true;
+    first_event_at_ = Clock::now();
+    HttpHead head = try_->head;
+    RemoveHopFields(&head);
+    exchange_->StartStream(std::move(head));
+  }
+  exchange_->Write(whole);
+  if (exchange_->pending_bytes() > kMostPending && try_->call) {
+    try_->call->PauseReading();
+  }
+}
+
+void RelayedRequest::OnAnswerEnd() {
+  auto self = shared_from_this();
+  if (!try_->streams) return OnWholeAnswer();
+  if (events_.has_half()) return EndTry(AttemptOutcome::kBroken);
+  ReleaseEndpoint(true);
+  NoteEvidence(false);
+  if (!stream_started_) {
+    HttpHead head = try_->head;
+    return PassAnswer(std::move(head), "");
+  }
+  exchange_->EndStream();
+  Finish("answered");
+}
+
+void RelayedRequest::OnWholeAnswer() {
+  const AnswerHead& answer = try_->answer;
+  if (answer.other_endpoint) {
+    relay_->directory_.Gone(try_->endpoint, Clock::now());
+  }
+  if (answer.not_run || answer.other_endpoint) {
+    return EndTry(AttemptOutcome::kRefused);
+  }
+  bool own_failure = answer.status >= 500 || PromisesNotRun(answer.status);
+  if (own_failure) {
+    NoteEvidence(true);
+    failure_.reset();
+    if (!PromisesNotRun(answer.status)) failure_ = {try_->head, try_->body};
+    return EndTry(AttemptOutcome::kFailed);
+  }
+  if (answer.succeeded() && !answer.signed_whole) {
+    return EndTry(AttemptOutcome::kBroken);
+  }
+  ReleaseEndpoint(true);
+  NoteEvidence(false);
+  PassAnswer(try_->head, try_->body);
+}
+
+void RelayedRequest::OnCallFailed(const ClientCall::Failure& failure) {
+  auto self = shared_from_this();
+  kLog.Info("A try broke.", {{"request", request_.id},
+                             {"endpoint", try_->endpoint},
+                             {"sent", failure.sent ? "yes" : "no"},
+                             {"garbled", failure.garbled ? "yes" : "no"},
+                             {"error", failure.error.message()}});
+  EndTry(failure.sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent);
+}
+
+bool RelayedRequest::MayResend(AttemptOutcome outcome) {
+  if (dispatches_ >= kMostDispatches) return false;
+  if (TimeLeft(Clock::now()) < kLeastTime) return false;
+  bool first_never_left =
+      outcome == AttemptOutcome::kNotSent && log_.attempts() <= 1;
+  return first_never_left || relay_->BudgetOf(service_)->Take();
+}
+
+void RelayedRequest::EndTry(AttemptOutcome outcome) {
+  bool refused = outcome == AttemptOutcome::kRefused;
+  ReleaseEndpoint(refused);
+  events_.DropHalf();
+  bool promised = try_->has_head && PromisesNotRun(try_->answer.status);
+  // The budget is drawn on only where the route lets the request go again.
+  bool could = outcome == AttemptOutcome::kNotSent ||
+               (log_.attempts_left() &&
+                (route_.repeatable() || (refused && !log_.may_have_run())));
+  NextStep step = log_.After(outcome, could && MayResend(outcome));
+  relay_->metrics_.Add("leverwick_tries_ended_total",
+                       std::string("outcome=\"") +
+                           (refused ? "refused" : "failed") + "\"",
+                       1);
+  if (step == NextStep::kTryAgain) return Dispatch();
+  if (stream_started_) {
+    exchange_->BreakOff();
+    return Finish("stream_broken");
+  }
+  if (step == NextStep::kAnswerNotRun) {
+    return AnswerNotRun(refused ? Result::kEndpointRefused
+                                : Result::kNoEndpoint);
+  }
+  if (failure_) return PassAnswer(failure_->first, failure_->second);
+  AnswerOwn(promised ? Result::kFailed : Result::kUnknownOutcome);
+}
+
+void RelayedRequest::ReleaseEndpoint(bool good) {
+  relay_->pool_.Ended(try_->endpoint, good, Clock::now());
+  try_->call.reset();
+}
+
+void RelayedRequest::NoteEvidence(bool failed) {
+  TimePoint end = stream_started_ ? first_event_at_ : Clock::now();
+  Observation observation;
+  observation.error = failed;
+  observation.latency = end - try_->sent_at;
+  uint32_t request_class = EvidenceClass(route_);
+  relay_->estimates_.Answered(VersionKeyOf(service_, try_->version),
+                              request_class, observation);
+  if (!relay_->rollouts_.IsWatched(service_)) return;
+  std::string target = relay_->rollouts_.TargetOf(service_);
+  if (try_->version != target) return;
+  VersionView baseline;
+  for (const std::string& version : relay_->directory_.VersionsOf(service_)) {
+    if (version == target) continue;
+    baseline = relay_->estimates_.View(VersionKeyOf(service_, version),
+                                       request_class);
+  }
+  std::string subject = service_ + "/" + target;
+  relay_->guard_.Answered(subject, kRolloutLimits, baseline, observation);
+  std::string why;
+  if (!relay_->guard_.Tripped(subject, &why)) return;
+  kLog.Warning("A new version is bad.", {{"service", service_},
+                                         {"version", target},
+                                         {"why", why}});
+  relay_->rollouts_.Trip(service_, why);
+}
+
+void RelayedRequest::PassAnswer(HttpHead head, const std::string& body) {
+  RemoveHopFields(&head);
+  exchange_->Answer(std::move(head), body);
+  Finish("answered");
+}
+
+void RelayedRequest::AnswerNotRun(Result result) {
+  relay_->Refuse(exchange_, request_.id, result, kComeBackAfter);
+  Finish("not_run");
+}
+
+void RelayedRequest::AnswerOwn(Result result) {
+  relay_->Refuse(exchange_, request_.id, result, {});
+  Finish(Info(result).name);
+}
+
+void RelayedRequest::OnTimeUp() {
+  if (finished_) return;
+  bool sent = try_ && try_->call && try_->call->sent();
+  if (stream_started_) {
+    exchange_->BreakOff();
+    return Finish("stream_timed_out");
+  }
+  if (!sent && !log_.may_have_run()) return AnswerNotRun(Result::kQueueTimeout);
+  AnswerOwn(Result::kDeadline);
+}
+
+void RelayedRequest::OnCallerLeft() { Finish("caller_left"); }
+
+void RelayedRequest::Finish(const char* outcome) {
+  if (finished_) return;
+  finished_ = true;
+  auto self = shared_from_this();
+  timer_.cancel();
+  exchange_->OnLeft(nullptr);
+  exchange_->OnDrained(nullptr);
+  if (try_ && try_->call) {
+    try_->call->Abort();
+    ReleaseEndpoint(true);
+  }
+  auto took = std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                       exchange_->received());
+  relay_->metrics_.Add("leverwick_requests_total",
+                       std::string("outcome=\"") + outcome + "\"", 1);
+  kLog.Debug("Request ended.",
+             {{"request", request_.id},
+              {"route", route_.name},
+              {"organisation", holder_.organisation},
+              {"config", std::to_string(config_->version())},
+              {"endpoint", try_ ? try_->endpoint : ""},
+              {"attempts", std::to_string(log_.attempts())},
+              {"outcome", outcome},
+              {"took_ms", std::to_string(took.count())}});
+  relay_->open_.erase(self);
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/daemon/relayed_request.h
@@ -0,0 +1,103 @@
+// One request from its admission to its last byte.
+//
+// A request is sent to one endpoint at a time. What a try's end means for the
+// caller is AttemptLog's decision; this class carries it out: another try, the
+// endpoint's own answer, or one of ours. A stream's head is held until its
+// first whole event, and a stream that breaks goes on elsewhere behind the
+// last whole event that was passed on.
+
+#ifndef DAEMON_RELAYED_REQUEST_H_
+#define DAEMON_RELAYED_REQUEST_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "daemon/dialect.h"
+#include "daemon/relay.h"
+#include "leverwick/attempts.h"
+#include "leverwick/event_stream.h"
+
+namespace leverwick {
+
+class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>,
+                       private ClientCall::Observer {
+ public:
+  RelayedRequest(Relay* relay, std::shared_ptr<ServerExchange> exchange,
+                 CallerRequest request, const ServiceRoute& route,
+                 KeyHolder holder);
+
+  void Start();
+
+ private:
+  // One send to one endpoint.
+  struct Try {
+    std::string endpoint;
+    std::string version;
+    std::shared_ptr<ClientCall> call;
+    TimePoint sent_at{};
+    bool has_head = false;
+    AnswerHead answer;
+    HttpHead head;
+    std::string body;
+    bool streams = false;  // a success whose events are passed on
+  };
+
+  // Sending.
+  void Dispatch();
+  std::string ChooseEndpoint();
+  void SendTo(const DirectoryEntry& endpoint);
+  std::string RequestFor(const DirectoryEntry& endpoint) const;
+  uint64_t Affinity() const;
+
+  // ClientCall::Observer.
+  bool OnAnswerHead(const HttpHead& head) override;
+  void OnAnswerBody(std::string_view bytes) override;
+  void OnAnswerEnd() override;
+  void OnCallFailed(const ClientCall::Failure& failure) override;
+
+  // Judging a try.
+  void OnWholeAnswer();
+  void EndTry(AttemptOutcome outcome);
+  bool MayResend(AttemptOutcome outcome);
+  void ReleaseEndpoint(bool good);
+  void NoteEvidence(bool failed);
+
+  // Ending.
+  void PassEvents(std::string_view bytes);
+  void PassAnswer(HttpHead head, const std::string& body);
+  void AnswerNotRun(Result result);
+  void AnswerOwn(Result result);
+  void OnTimeUp();
+  void OnCallerLeft();
+  void Finish(const char* outcome);
+
+  milliseconds TimeLeft(TimePoint now) const;
+
+  Relay* const relay_;
+  const std::shared_ptr<ServerExchange> exchange_;
+  const CallerRequest request_;
+  const std::shared_ptr<const ServiceConfig> config_;  // holds route_
+  const ServiceRoute& route_;
+  const KeyHolder holder_;
+  const std::string service_;
+  boost::asio::steady_timer timer_;
+  TimePoint deadline_{};
+  AttemptLog log_;
+  std::set<std::string> tried_;
+  int dispatches_ = 0;
+  std::optional<Try> try_;
+  // A stream that is passed on.
+  EventSplitter events_;
+  bool stream_started_ = false;
+  TimePoint first_event_at_{};
+  // The last failure an endpoint answered with.
+  std::optional<std::pair<HttpHead, std::string>> failure_;
+  bool finished_ = false;
+};
+
+}  // namespace leverwick
+
+#endif  // DAEMON_RELAYED_REQUEST_H_
--- /dev/null
+++ b/leverwick/attempts.h
@@ -0,0 +1,57 @@
+// What happens to a request after one try at an endpoint.
+//
+// The rules that keep a request from running twice, in one place: a request
+// that may have run is sent again only when its route lets it run again; the
+// number of endpoints it is sent to is bounded; and "not run" is answered only
+// while no try of it can have run or will.
+//
+//   AttemptLog log(route.repeatable(), route.max_attempts);
+//   log.Sent();
+//   NextStep step = log.After(AttemptOutcome::kRefused, budget_left, time_left);
+
+#ifndef LEVERWICK_ATTEMPTS_H_
+#define LEVERWICK_ATTEMPTS_H_
+
+namespace leverwick {
+
+// How one try ended when it did not end with an answer to pass on.
+enum class AttemptOutcome {
+  kNotSent,  // no byte of the request can have reached the endpoint
+  kRefused,  // the endpoint says that it has not run the request
+  kFailed,   // the endpoint ran it and answered with a failure
+  kBroken,   // it was sent, and what became of it is not known
+};
+
+enum class NextStep {
+  kTryAgain,       // at another endpoint
+  kAnswerNotRun,   // nothing has run; the caller may come back
+  kAnswerFailure,  // pass the endpoint's own failure on
+  kAnswerUnknown,  // it may have run
+};
+
+class AttemptLog {
+ public:
+  AttemptLog(bool repeatable, int max_attempts)
+      : repeatable_(repeatable), max_attempts_(max_attempts) {}
+
+  // A try begins; it counts as one endpoint that the request is sent to.
+  void Sent() { ++attempts_; }
+
+  // `may_resend`: the retry budget and the time left allow another try.
+  NextStep After(AttemptOutcome outcome, bool may_resend);
+
+  // Whether some try has run or may have run.
+  bool may_have_run() const { return may_have_run_; }
+  int attempts() const { return attempts_; }
+  bool attempts_left() const { return attempts_ < max_attempts_; }
+
+ private:
+  const bool repeatable_;
+  const int max_attempts_;
+  int attempts_ = 0;
+  bool may_have_run_ = false;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_ATTEMPTS_H_
--- a/leverwick/digest.h
+++ b/leverwick/digest.h
@@ -23,6 +23,9 @@
 // Whether two strings are equal, in a time that depends on the length only.
 bool EqualInConstantTime(std::string_view a, std::string_view b);
 
+// Standard base64 with padding; false when the text is not that.
+bool Base64Decode(const std::string& text, std::string* bytes);
+
 // The base64 alphabet of URLs, without padding.
 std::string Base64UrlEncode(std::string_view bytes);
 bool Base64UrlDecode(std::string_view text, std::string* bytes);
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -142,12 +142,13 @@
 
 std::vector<const EndpointPool::Endpoint*> EndpointPool::Candidates(
     const Endpoints& endpoints, const std::set<std::string>& excluded,
-    TimePoint now) {
+    TimePoint now, const Filter& allowed) {
   std::vector<const Endpoint*> usable;
   std::vector<const Endpoint*> healthy;
   for (const auto& entry : endpoints) {
     const Endpoint& endpoint = entry.second;
     if (!Usable(endpoint) || excluded.count(entry.first) > 0) continue;
+    if (allowed && !allowed(endpoint.listed)) continue;
     usable.push_back(&endpoint);
     if (endpoint.ejected_until <= now) healthy.push_back(&endpoint);
   }
@@ -160,7 +161,8 @@
 EndpointPool::Choice EndpointPool::Pick(const std::string& target,
                                         uint64_t affinity,
                                         const std::set<std::string>& excluded,
-                                        TimePoint now) const {
+                                        TimePoint now,
+                                        const Filter& allowed) const {
   Shard& shard = ShardOf(target);
   std::lock_guard<std::mutex> lock(shard.mutex);
   auto endpoints = shard.targets.find(target);
@@ -170,7 +172,7 @@
   uint64_t highest = 0;
   double least_load = 0;
   for (const Endpoint* endpoint :
-       Candidates(endpoints->second, excluded, now)) {
+       Candidates(endpoints->second, excluded, now, allowed)) {
     double load = LoadOf(*endpoint, now);
     if (least == nullptr || load < least_load) {
       least = endpoint;
--- a/leverwick/endpoints.h
+++ b/leverwick/endpoints.h
@@ -16,6 +16,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -32,7 +33,8 @@
   std::string address;  // ip:port
   std::string target;   // "model@version", or "service/NAME"
   std::string data_centre;
-  size_t places = 1;  // requests it serves at once
+  std::string version;  // of its software; may be empty
+  size_t places = 1;    // requests it serves at once
   bool leaving = false;
 };
 
@@ -59,9 +61,12 @@
                 TimePoint now);
 
   // Picks an endpoint for `target`. `affinity` is a hash of organisation and
-  // prompt prefix; `excluded` were tried already.
+  // prompt prefix; `excluded` were tried already; `allowed`, when given, may
+  // rule endpoints out.
+  using Filter = std::function<bool(const ListedEndpoint&)>;
   Choice Pick(const std::string& target, uint64_t affinity,
-              const std::set<std::string>& excluded, TimePoint now) const;
+              const std::set<std::string>& excluded, TimePoint now,
+              const Filter& allowed = nullptr) const;
 
   // The simple reference of Pick: the least loaded of all, no affinity.
   Choice PickLeastLoaded(const std::string& target,
@@ -125,7 +130,7 @@
   static double LoadOf(const Endpoint& endpoint, TimePoint now);
   static std::vector<const Endpoint*> Candidates(
       const Endpoints& endpoints, const std::set<std::string>& excluded,
-      TimePoint now);
+      TimePoint now, const Filter& allowed = nullptr);
   static void Merge(const ListedEndpoint& listed, TimePoint now,
                     Endpoint* endpoint);
 
--- a/leverwick/retry_budget.h
+++ b/leverwick/retry_budget.h
@@ -1,6 +1,9 @@
 // Bounds retries to a share of the traffic, so that a failing pool is not
 // brought down by its own retries.
 //
+// Each box keeps its own account, so the sum over boxes holds without talk:
+// in any span retries are at most `most` a box and `share` of its requests.
+//
 //   RetryBudget budget(0.1);
 //   budget.Count();              // at each new request
 //   if (budget.Take()) retry();  // at each retry
@@ -16,12 +19,15 @@
 // Thread-safe.
 class RetryBudget {
  public:
-  // `share` retries are allowed per request.
-  explicit RetryBudget(double share) : share_(share) {}
+  // `share` retries are allowed per request; a quiet box begins with `start`
+  // and saves up to `most`.
+  explicit RetryBudget(double share, double start = kStart,
+                       double most = kMost)
+      : share_(share), most_(most), level_(start) {}
 
   void Count() {
     std::lock_guard<std::mutex> lock(mutex_);
-    level_ = std::min(kMost, level_ + share_);
+    level_ = std::min(most_, level_ + share_);
   }
 
   bool Take() {
@@ -37,8 +43,9 @@
   static constexpr double kMost = 100;
 
   const double share_;
+  const double most_;
   std::mutex mutex_;
-  double level_ = kStart;
+  double level_;
 };
 
 }  // namespace leverwick
--- /dev/null
+++ b/leverwick/service_config.cc
@@ -0,0 +1,73 @@
+// Prefixes end with a slash, so the route of a path is found by looking up the
+// path cut after each of its slashes, the longest first.
+
+#include "leverwick/service_config.h"
+
+namespace leverwick {
+namespace {
+
+std::string PrefixKey(const std::string& host, const std::string& prefix) {
+  return host + " " + prefix;
+}
+
+}  // namespace
+
+const ServiceRoute* ServiceConfig::FindRoute(const std::string& host,
+                                             const std::string& path) const {
+  for (size_t end = path.rfind('/'); end != std::string::npos;
+       end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
+    auto found = by_prefix_.find(PrefixKey(host, path.substr(0, end + 1)));
+    if (found != by_prefix_.end()) return &routes_[found->second];
+  }
+  return nullptr;
+}
+
+const KeyHolder* ServiceConfig::FindKey(const std::string& key) const {
+  auto found = keys_.find(key);
+  return found == keys_.end() ? nullptr : &found->second;
+}
+
+const ServiceInfo* ServiceConfig::FindService(const std::string& name) const {
+  auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+ServiceConfig::Builder& ServiceConfig::Builder::Add(ServiceRoute route) {
+  config_.by_prefix_[PrefixKey(route.host, route.path_prefix)] =
+      config_.routes_.size();
+  config_.routes_.push_back(std::move(route));
+  return *this;
+}
+
+ServiceConfig::Builder& ServiceConfig::Builder::Add(ServiceInfo service) {
+  std::string name = service.name;
+  config_.services_[name] = std::move(service);
+  return *this;
+}
+
+ServiceConfig::Builder& ServiceConfig::Builder::AddOrganisation(
+    const std::string& name, const std::vector<std::string>& keys,
+    std::optional<int> priority) {
+  config_.has_organisations_ = true;
+  for (const std::string& key : keys) config_.keys_[key] = {name, priority};
+  return *this;
+}
+
+ServiceConfig::Builder& ServiceConfig::Builder::SetLimits(
+    const CallerLimits& limits) {
+  config_.limits_ = limits;
+  return *this;
+}
+
+std::string PickService(const ServiceRoute& route, double draw) {
+  double total = 0;
+  for (const ServiceShare& share : route.services) total += share.weight;
+  double left = draw * total;
+  for (const ServiceShare& share : route.services) {
+    left -= share.weight;
+    if (left < 0) return share.service;
+  }
+  return route.services.empty() ? "" : route.services.back().service;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/leverwick/service_rollouts.h
@@ -0,0 +1,123 @@
+// Brings a new version of a service in, step by step, on all boxes alike.
+//
+// An operator orders a target version and a time within which it is to be in
+// use. The boxes share one record of how far the roll-out has come; whoever
+// sees that a step has lasted long enough proposes the next, and the store
+// lets exactly one proposal through. Which requests run on the target is
+// decided by a hash of their session, so boxes agree without talking, and a
+// session that began on one version stays there during the first half.
+//
+//   ServiceRollouts rollouts(options);
+//   rollouts.Ordered("chat", "v2", 24s, now);
+//   Side side = rollouts.SideFor("chat", session, now);
+//   for (const RolloutRecord& next : rollouts.Proposals(now)) ...
+//   rollouts.Learned(record, now);   // what the shared record says
+//   rollouts.Trip("chat", "more errors");
+
+#ifndef LEVERWICK_SERVICE_ROLLOUTS_H_
+#define LEVERWICK_SERVICE_ROLLOUTS_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+enum class RolloutStep {
+  kCanary,      // a small share of new sessions
+  kHalf,        // half of all sessions
+  kAll,         // every request; the old version only finishes what it has
+  kCompleted,   // the old version's endpoints may be stopped
+  kRolledBack,  // the target turned out bad
+};
+
+// The shared record of a roll-out.
+struct RolloutRecord {
+  std::string service;
+  std::string target_version;
+  RolloutStep step = RolloutStep::kCanary;
+
+  bool ended() const {
+    return step == RolloutStep::kCompleted || step == RolloutStep::kRolledBack;
+  }
+};
+
+struct RolloutOptions {
+  // Share of sessions that run on the target at first.
+  double canary_share = 0.1;
+  // Parts of the ordered time at whose end each step begins. The first half
+  // keeps sessions where they are, so kHalf begins after it.
+  double half_from = 0.53;
+  double all_from = 0.62;
+  double completed_from = 0.8;
+  // How long a session may pause and still be the same.
+  milliseconds session_pause{5000};
+};
+
+// Not thread-safe.
+class ServiceRollouts {
+ public:
+  enum class Side { kAny, kBaseline, kTarget };
+
+  explicit ServiceRollouts(const RolloutOptions& options)
+      : options_(options) {}
+
+  // Ordering the same target again changes nothing.
+  void Ordered(const std::string& service, const std::string& target_version,
+               milliseconds duration, TimePoint now);
+
+  // What the shared record says; a step never goes back.
+  void Learned(const RolloutRecord& record, TimePoint now);
+
+  // The target version is bad. Holds at once and is never undone.
+  void Trip(const std::string& service, const std::string& why);
+
+  // Where a request of `session` runs. Remembers the session.
+  Side SideFor(const std::string& service, const std::string& session,
+               TimePoint now);
+
+  // The version that an order names; empty when there is no order.
+  std::string TargetOf(const std::string& service) const;
+  // Whether the order is still being carried out, as far as this box knows.
+  bool IsActive(const std::string& service) const;
+  bool AnyActive() const;
+  // Whether the target is held against the version before it.
+  bool IsWatched(const std::string& service) const;
+
+  // Records that this box would write now.
+  std::vector<RolloutRecord> Proposals(TimePoint now) const;
+
+  // Forgets sessions that have paused for too long.
+  void Expire(TimePoint now);
+
+ private:
+  struct Rollout {
+    std::string target;
+    milliseconds duration{0};
+    TimePoint ordered_at{};
+    RolloutStep step = RolloutStep::kCanary;
+    bool recorded = false;  // the shared record names this target
+    bool tripped = false;   // by this box
+    std::string why;
+  };
+  struct Session {
+    bool on_target = false;
+    TimePoint last{};
+  };
+
+  bool IsOnTarget(const Rollout& rollout, const std::string& service,
+                  const std::string& session, const Session* known) const;
+  bool IsDue(const Rollout& rollout, RolloutStep* next, TimePoint now) const;
+
+  const RolloutOptions options_;
+  std::map<std::string, Rollout> rollouts_;  // by service
+  std::map<std::pair<std::string, std::string>, Session> sessions_;
+};
+
+const char* RolloutStepName(RolloutStep step);
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_SERVICE_ROLLOUTS_H_
--- /dev/null
+++ b/net/async_http_client.cc
@@ -0,0 +1,271 @@
+// The most recently used connection is taken first, so that surplus ones age
+// and are closed. A connection is reused only well within the time the server
+// keeps it: a request that crosses the server's close can't be told from one
+// that ran.
+
+#include "net/async_http_client.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "leverwick/result.h"
+
+namespace leverwick {
+namespace {
+
+// A server's own time for idle connections is used up to this share.
+constexpr double kIdleShare = 0.6;
+
+// The "timeout" of a Keep-Alive field; zero when it names none.
+milliseconds KeepAliveTime(const HttpHead& head) {
+  const std::string& field = head.Field("keep-alive");
+  size_t at = field.find("timeout=");
+  if (at == std::string::npos) return milliseconds(0);
+  return std::chrono::seconds(std::atol(field.c_str() + at + 8));
+}
+
+}  // namespace
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
+                         private TcpConnection::Observer,
+                         private HttpReader::Observer {
+ public:
+  ClientConnection(HttpConnections* owner, std::string address,
+                   std::shared_ptr<TcpConnection> tcp)
+      : owner_(owner),
+        address_(std::move(address)),
+        tcp_(std::move(tcp)),
+        reader_(HttpReader::kResponses, owner->options_.answer_limits, this) {}
+
+  const std::string& address() const { return address_; }
+  void Start() { tcp_->Start(this); }
+
+  void Begin(const std::shared_ptr<ClientCall>& call) {
+    call_ = call;
+    call_->connection_ = shared_from_this();
+    reader_.Reset();
+    reusable_ = true;
+    whole_ = false;
+    tcp_->ForgetSent();
+    tcp_->Write(std::move(call_->request_));
+  }
+
+  void Close() {
+    Detach();
+    tcp_->Close();
+  }
+
+  void PauseReading() { tcp_->PauseReading(); }
+  void ResumeReading() { tcp_->ResumeReading(); }
+  bool any_sent() const { return tcp_->any_sent(); }
+  bool is_open() const { return tcp_->is_open(); }
+  TimePoint usable_until() const { return usable_until_; }
+
+ private:
+  void OnBytes(std::string_view bytes) override {
+    auto self = shared_from_this();
+    if (call_ == nullptr) return EndIdle();
+    while (!bytes.empty() && call_ != nullptr) {
+      size_t used = 0;
+      if (!reader_.Feed(bytes, &used)) return Fail({}, true);
+      bytes.remove_prefix(std::min(used, bytes.size()));
+      if (!reader_.done()) return;
+      if (dropping_) {
+        reader_.Reset();
+        continue;
+      }
+      // Whatever follows a whole answer belongs to no request.
+      if (!bytes.empty()) reusable_ = false;
+      return Complete();
+    }
+  }
+
+  void OnHead(HttpHead head) override {
+    if (call_ == nullptr) return;
+    dropping_ = !call_->observer_->OnAnswerHead(head);
+    if (dropping_ || call_ == nullptr) return;
+    reusable_ = head.keep_alive && head.has_length;
+    SetUsableTime(head);
+  }
+
+  void SetUsableTime(const HttpHead& head) {
+    milliseconds time = owner_->options_.idle_time;
+    milliseconds named = KeepAliveTime(head);
+    if (named.count() > 0) {
+      auto share = static_cast<double>(named.count()) * kIdleShare;
+      time = std::min(time, milliseconds(static_cast<int64_t>(share)));
+    }
+    usable_time_ = time;
+  }
+
+  void OnBody(std::string_view bytes) override {
+    if (call_ != nullptr && !dropping_) call_->observer_->OnAnswerBody(bytes);
+  }
+  void OnEnd() override {}
+
+  void Complete() {
+    auto call = call_;
+    // An answer before the whole request was written: the server may still
+    // read the rest, so nothing else may follow on this connection.
+    bool keep = reusable_ && tcp_->is_open() && tcp_->pending_bytes() == 0;
+    Detach();
+    usable_until_ = Clock::now() + usable_time_;
+    if (keep) {
+      owner_->Keep(shared_from_this());
+    } else {
+      tcp_->CloseWhenDrained();
+    }
+    call->observer_->OnAnswerEnd();
+  }
+
+  void OnClosed(std::error_code why) override {
+    auto self = shared_from_this();
+    if (call_ == nullptr) return owner_->DropIdle(this);
+    if (!why && reader_.any_read() && !dropping_ && reader_.Closed()) {
+      reusable_ = false;
+      return Complete();
+    }
+    Fail(why, false);
+  }
+
+  void Fail(std::error_code why, bool garbled) {
+    auto call = call_;
+    ClientCall::Failure failure;
+    failure.error = why ? why : std::error_code(Result::kBadResponse);
+    failure.sent = tcp_->any_sent();
+    failure.garbled = garbled;
+    Close();
+    if (call != nullptr) call->observer_->OnCallFailed(failure);
+  }
+
+  void EndIdle() {
+    tcp_->Close();
+    owner_->DropIdle(this);
+  }
+
+  void Detach() {
+    if (call_ != nullptr) call_->connection_ = nullptr;
+    call_ = nullptr;
+    dropping_ = false;
+  }
+
+  HttpConnections* const owner_;
+  const std::string address_;
+  std::shared_ptr<TcpConnection> tcp_;
+  HttpReader reader_;
+  std::shared_ptr<ClientCall> call_;
+  bool reusable_ = true;
+  bool whole_ = false;
+  bool dropping_ = false;  // reading an answer that is not this request's
+  milliseconds usable_time_{0};
+  TimePoint usable_until_{};
+};
+
+void ClientCall::Abort() {
+  aborted_ = true;
+  auto connection = connection_;
+  if (connection != nullptr) connection->Close();
+}
+
+void ClientCall::PauseReading() {
+  if (connection_ != nullptr) connection_->PauseReading();
+}
+
+void ClientCall::ResumeReading() {
+  if (connection_ != nullptr) connection_->ResumeReading();
+}
+
+bool ClientCall::sent() const {
+  return connection_ != nullptr && connection_->any_sent();
+}
+
+std::shared_ptr<ClientCall> HttpConnections::Send(
+    const std::string& address, std::string request,
+    ClientCall::Observer* observer) {
+  auto call = std::make_shared<ClientCall>();
+  call->request_ = std::move(request);
+  call->observer_ = observer;
+  auto connection = TakeIdle(address);
+  if (connection == nullptr) {
+    Connect(address, call);
+  } else {
+    connection->Begin(call);
+  }
+  return call;
+}
+
+void HttpConnections::Connect(const std::string& address,
+                              const std::shared_ptr<ClientCall>& call) {
+  auto fail = [call](std::error_code error) {
+    if (!call->aborted_) call->observer_->OnCallFailed({error, false, false});
+  };
+  boost::asio::ip::tcp::endpoint endpoint;
+  if (!ParseAddress(address, &endpoint)) {
+    boost::asio::post(*loop_, [fail] { fail(Result::kUnreachable); });
+    return;
+  }
+  ++opened_;
+  ConnectTcp(loop_, endpoint, options_.connect_timeout,
+             [this, call, address, fail](std::error_code error, auto tcp) {
+               if (error) return fail(error);
+               if (call->aborted_) return tcp->Close();
+               auto connection = std::make_shared<ClientConnection>(
+                   this, address, std::move(tcp));
+               connection->Start();
+               connection->Begin(call);
+             });
+}
+
+std::shared_ptr<ClientConnection> HttpConnections::TakeIdle(
+    const std::string& address) {
+  auto found = idle_.find(address);
+  if (found == idle_.end()) return nullptr;
+  auto& kept = found->second;
+  TimePoint now = Clock::now();
+  while (!kept.empty()) {
+    auto connection = kept.back();
+    kept.pop_back();
+    if (connection->is_open() && connection->usable_until() > now) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void HttpConnections::Keep(
+    const std::shared_ptr<ClientConnection>& connection) {
+  auto& kept = idle_[connection->address()];
+  TimePoint now = Clock::now();
+  while (!kept.empty() && (kept.front()->usable_until() <= now ||
+                           kept.size() >= options_.max_idle_each)) {
+    kept.front()->Close();
+    kept.pop_front();
+  }
+  kept.push_back(connection);
+}
+
+void HttpConnections::DropIdle(ClientConnection* connection) {
+  auto found = idle_.find(connection->address());
+  if (found == idle_.end()) return;
+  auto& kept = found->second;
+  kept.erase(std::remove_if(
+                 kept.begin(), kept.end(),
+                 [connection](const auto& c) { return c.get() == connection; }),
+             kept.end());
+}
+
+void HttpConnections::Forget(const std::string& address) {
+  auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  for (const auto& connection : found->second) connection->Close();
+  idle_.erase(found);
+}
+
+size_t HttpConnections::idle() const {
+  size_t count = 0;
+  for (const auto& entry : idle_) count += entry.second.size();
+  return count;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/net/async_http_client.h
@@ -0,0 +1,113 @@
+// HTTP/1.1 requests on kept connections, on the event loop.
+//
+// A connection carries one request at a time and is kept for the next one
+// unless the answer, its framing or the time the other side named forbids it.
+// Bytes that come when none are due belong to no request: they end the
+// connection. The caller of Send learns how far the request got, which is what
+// decides whether it may be sent again.
+//
+//   HttpConnections connections(&loop, options);
+//   auto call = connections.Send(address, std::move(request), &observer);
+//   call->Abort();  // gives it up
+
+#ifndef NET_ASYNC_HTTP_CLIENT_H_
+#define NET_ASYNC_HTTP_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "leverwick/time.h"
+#include "net/http_codec.h"
+#include "net/tcp_connection.h"
+
+namespace leverwick {
+
+class ClientConnection;
+
+// One request on its way to a server and the answer to it.
+class ClientCall {
+ public:
+  // How an answer ended before it was whole.
+  struct Failure {
+    std::error_code error;
+    bool sent = false;     // a byte of the request may have arrived
+    bool garbled = false;  // the bytes were no answer in the protocol
+  };
+
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    // False when the answer is not this request's: it is read and dropped,
+    // and the next one is awaited.
+    virtual bool OnAnswerHead(const HttpHead& head) = 0;
+    virtual void OnAnswerBody(std::string_view bytes) = 0;
+    virtual void OnAnswerEnd() = 0;
+    virtual void OnCallFailed(const Failure& failure) = 0;
+  };
+
+  // Ends the call; the observer hears no more. Closes the connection.
+  void Abort();
+  void PauseReading();
+  void ResumeReading();
+  // Whether a byte of the request may have reached the server.
+  bool sent() const;
+
+ private:
+  friend class HttpConnections;
+  friend class ClientConnection;
+
+  std::string request_;
+  Observer* observer_ = nullptr;
+  std::shared_ptr<ClientConnection> connection_;
+  bool aborted_ = false;
+};
+
+struct HttpConnectionsOptions {
+  milliseconds connect_timeout{400};
+  // Longest rest of a kept connection when the server names no time.
+  milliseconds idle_time{10000};
+  size_t max_idle_each = 64;  // kept connections to one address
+  HttpReader::Limits answer_limits{64 * 1024, 256u << 20};
+};
+
+class HttpConnections {
+ public:
+  HttpConnections(boost::asio::io_context* loop,
+                  const HttpConnectionsOptions& options)
+      : loop_(loop), options_(options) {}
+
+  // `request` is the whole message. The observer is called from the loop,
+  // never from inside Send.
+  std::shared_ptr<ClientCall> Send(const std::string& address,
+                                   std::string request,
+                                   ClientCall::Observer* observer);
+
+  // Closes the kept connections to an address that serves no more.
+  void Forget(const std::string& address);
+
+  uint64_t opened() const { return opened_; }
+  size_t idle() const;
+
+ private:
+  friend class ClientConnection;
+
+  std::shared_ptr<ClientConnection> TakeIdle(const std::string& address);
+  void Keep(const std::shared_ptr<ClientConnection>& connection);
+  void DropIdle(ClientConnection* connection);
+  void Connect(const std::string& address,
+               const std::shared_ptr<ClientCall>& call);
+
+  boost::asio::io_context* const loop_;
+  const HttpConnectionsOptions options_;
+  std::map<std::string, std::deque<std::shared_ptr<ClientConnection>>> idle_;
+  uint64_t opened_ = 0;
+};
+
+}  // namespace leverwick
+
+#endif  // NET_ASYNC_HTTP_CLIENT_H_
--- /dev/null
+++ b/net/async_http_server.cc
@@ -0,0 +1,303 @@
+// A connection is idle, reading or answering. While it answers, bytes of a
+// next request are held, up to a bound, and read afterwards; the read loop
+// stays armed only to notice that the caller left.
+
+#include "net/async_http_server.h"
+
+#include <algorithm>
+
+namespace leverwick {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Bytes of the next requests that a caller may send ahead of its answers.
+constexpr size_t kHeldBytes = 64 * 1024;
+// How long accepting rests when descriptors have run out.
+constexpr milliseconds kAcceptPause{50};
+constexpr int kBacklog = 1024;
+// While the box stops, a connection at rest is kept for a request that is on
+// its way: more than a round trip to a caller.
+constexpr milliseconds kRestWhileDraining{300};
+
+int StatusOf(HttpReader::Error error) {
+  if (error == HttpReader::kHeadTooLarge) return 431;
+  if (error == HttpReader::kBodyTooLarge) return 413;
+  return 400;
+}
+
+}  // namespace
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>,
+                         private TcpConnection::Observer,
+                         private HttpReader::Observer {
+ public:
+  ServerConnection(AsyncHttpServer* server, TcpConnection::Socket socket)
+      : server_(server),
+        tcp_(std::make_shared<TcpConnection>(std::move(socket))),
+        reader_(HttpReader::kRequests, ReaderLimits(server->limits_), this),
+        timer_(*server->loop_) {}
+
+  void Start() {
+    tcp_->Start(this);
+    Rest();
+  }
+
+  void Write(std::string bytes) { tcp_->Write(std::move(bytes)); }
+  size_t pending_bytes() const { return tcp_->pending_bytes(); }
+  bool will_close() const { return close_after_ || server_->draining_; }
+  bool old_caller() const { return old_caller_; }
+
+  // The answer is whole.
+  void Finish() {
+    if (exchange_ == nullptr) return;
+    Release();
+    if (will_close() || too_much_held_) return CloseAfterAnswer();
+    reader_.Reset();
+    Rest();
+    // Not from inside the handler: a caller's held requests are taken one
+    // turn of the loop after another.
+    boost::asio::post(*server_->loop_, [self = shared_from_this()] {
+      self->TakeHeld();
+    });
+  }
+
+  void BreakOff() {
+    Release();
+    Drop();
+  }
+
+  void Drain() {
+    if (exchange_ == nullptr && !reader_.any_read()) Rest();
+  }
+
+ private:
+  static HttpReader::Limits ReaderLimits(const HttpServerLimits& limits) {
+    HttpReader::Limits reader;
+    reader.head_bytes = limits.head_bytes;
+    reader.body_bytes = limits.body_bytes;
+    return reader;
+  }
+
+  void Rest() {
+    milliseconds rest = server_->limits_.idle_time;
+    if (server_->draining_) rest = std::min(rest, kRestWhileDraining);
+    SetTimer(rest);
+  }
+
+  void SetTimer(milliseconds limit) {
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](auto error) {
+      if (!error) self->OnTimer();
+    });
+  }
+
+  void OnTimer() {
+    if (exchange_ != nullptr) return;
+    if (!reader_.any_read()) return Drop();
+    Refuse(408);
+  }
+
+  void OnBytes(std::string_view bytes) override {
+    if (exchange_ != nullptr) return Hold(bytes);
+    if (!reader_.any_read()) SetTimer(server_->limits_.head_time);
+    Read(bytes);
+  }
+
+  void Hold(std::string_view bytes) {
+    held_.append(bytes);
+    if (held_.size() <= kHeldBytes) return;
+    // What is dropped would tear a request apart, so the connection ends
+    // behind this answer.
+    too_much_held_ = true;
+    held_.clear();
+  }
+
+  void TakeHeld() {
+    if (exchange_ != nullptr || held_.empty() || !tcp_->is_open()) return;
+    std::string held;
+    held.swap(held_);
+    OnBytes(held);
+  }
+
+  void Read(std::string_view bytes) {
+    size_t used = 0;
+    if (!reader_.Feed(bytes, &used)) return Refuse(StatusOf(reader_.error()));
+    bytes.remove_prefix(std::min(used, bytes.size()));
+    if (!reader_.done()) return;
+    held_.assign(bytes);
+    timer_.cancel();
+    Handle();
+  }
+
+  void OnHead(HttpHead head) override {
+    head_ = std::move(head);
+    body_.clear();
+    if (SameName(head_.Field("expect"), "100-continue")) {
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+  void OnBody(std::string_view bytes) override { body_.append(bytes); }
+  void OnEnd() override {}
+
+  void Handle() {
+    close_after_ = !head_.keep_alive;
+    old_caller_ = head_.minor_version == 0;
+    exchange_ = std::make_shared<ServerExchange>(
+        weak_from_this(), std::move(head_), std::move(body_), Clock::now());
+    body_ = std::string();
+    ++server_->open_requests_;
+    server_->handler_(exchange_);
+  }
+
+  // The request can't be read: nothing behind it on the connection can be.
+  void Refuse(int status) {
+    HttpHead head;
+    head.status = status;
+    head.Set("Content-Length", "0");
+    head.Set("Connection", "close");
+    Write(ResponseText(head));
+    CloseAfterAnswer();
+  }
+
+  void OnClosed(std::error_code) override {
+    auto self = shared_from_this();
+    auto exchange = exchange_;
+    Release();
+    Drop();
+    if (exchange != nullptr && exchange->left_) exchange->left_();
+  }
+
+  void OnDrained() override {
+    if (exchange_ != nullptr && exchange_->drained_) exchange_->drained_();
+  }
+
+  void Release() {
+    if (exchange_ == nullptr) return;
+    exchange_->drained_ = nullptr;
+    exchange_ = nullptr;
+    --server_->open_requests_;
+  }
+
+  void CloseAfterAnswer() {
+    auto self = shared_from_this();
+    timer_.cancel();
+    tcp_->CloseWhenDrained();
+    server_->connections_.erase(self);
+  }
+
+  void Drop() {
+    auto self = shared_from_this();
+    timer_.cancel();
+    tcp_->Close();
+    server_->connections_.erase(self);
+  }
+
+  AsyncHttpServer* const server_;
+  std::shared_ptr<TcpConnection> tcp_;
+  HttpReader reader_;
+  boost::asio::steady_timer timer_;
+  HttpHead head_;
+  std::string body_;
+  std::string held_;
+  std::shared_ptr<ServerExchange> exchange_;
+  bool close_after_ = false;
+  bool old_caller_ = false;
+  bool too_much_held_ = false;
+};
+
+void ServerExchange::Answer(HttpHead head, const std::string& body) {
+  auto connection = connection_.lock();
+  if (connection == nullptr || started_) return;
+  started_ = true;
+  head.Set("Content-Length", std::to_string(body.size()));
+  if (connection->will_close()) head.Set("Connection", "close");
+  connection->Write(ResponseText(head) + body);
+  connection->Finish();
+}
+
+void ServerExchange::StartStream(HttpHead head) {
+  auto connection = connection_.lock();
+  if (connection == nullptr || started_) return;
+  started_ = true;
+  chunked_ = !connection->old_caller();
+  if (chunked_) head.Set("Transfer-Encoding", "chunked");
+  if (connection->will_close()) head.Set("Connection", "close");
+  connection->Write(ResponseText(head));
+}
+
+void ServerExchange::Write(std::string_view bytes) {
+  auto connection = connection_.lock();
+  if (connection == nullptr) return;
+  connection->Write(chunked_ ? ChunkText(bytes) : std::string(bytes));
+}
+
+void ServerExchange::EndStream() {
+  auto connection = connection_.lock();
+  if (connection == nullptr) return;
+  if (chunked_) connection->Write(kLastChunk);
+  connection->Finish();
+}
+
+void ServerExchange::BreakOff() {
+  started_ = true;
+  if (auto connection = connection_.lock()) connection->BreakOff();
+}
+
+size_t ServerExchange::pending_bytes() const {
+  auto connection = connection_.lock();
+  return connection == nullptr ? 0 : connection->pending_bytes();
+}
+
+AsyncHttpServer::AsyncHttpServer(boost::asio::io_context* loop,
+                                 Handler handler)
+    : loop_(loop),
+      handler_(std::move(handler)),
+      acceptor_(*loop),
+      accept_pause_(*loop) {}
+
+AsyncHttpServer::~AsyncHttpServer() = default;
+
+std::error_code AsyncHttpServer::Listen(const tcp::endpoint& address) {
+  boost::system::error_code error;
+  acceptor_.open(address.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) acceptor_.bind(address, error);
+  if (!error) acceptor_.listen(kBacklog, error);
+  if (!error) Accept();
+  return error;
+}
+
+void AsyncHttpServer::Accept() {
+  acceptor_.async_accept([this](auto error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      accept_pause_.expires_after(kAcceptPause);
+      accept_pause_.async_wait([this](auto cancelled) {
+        if (!cancelled) Accept();
+      });
+      return;
+    }
+    SetTcpOptions(&socket);
+    auto connection =
+        std::make_shared<ServerConnection>(this, std::move(socket));
+    connections_.insert(connection);
+    connection->Start();
+    Accept();
+  });
+}
+
+void AsyncHttpServer::Drain() {
+  draining_ = true;
+  auto connections = connections_;
+  for (const auto& connection : connections) connection->Drain();
+}
+
+void AsyncHttpServer::StopListening() {
+  boost::system::error_code ignored;  // closing can't be retried
+  acceptor_.close(ignored);
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/net/http_codec.cc
@@ -0,0 +1,266 @@
+// A parser derived from Beast's, whose virtual calls fill the head and pass
+// the body on. Beast needs the whole head in one buffer, so an unfinished head
+// is held back; bodies are passed on without a copy.
+
+#include "net/http_codec.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace leverwick {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+char Lower(char c) { return c >= 'A' && c <= 'Z' ? char(c + 32) : c; }
+
+// Fields of one connection only (RFC 9110, 7.6.1).
+constexpr std::string_view kHopFields[] = {
+    "connection", "keep-alive",        "proxy-connection",
+    "te",         "transfer-encoding", "upgrade",
+    "trailer",    "content-length"};
+
+std::vector<std::string> Tokens(const std::string& list) {
+  std::vector<std::string> tokens;
+  std::string token;
+  for (char c : list + ",") {
+    if (c == ',') {
+      if (!token.empty()) tokens.push_back(token);
+      token.clear();
+    } else if (c != ' ' && c != '\t') {
+      token += c;
+    }
+  }
+  return tokens;
+}
+
+std::string FieldsText(const HttpHead& head) {
+  std::string text;
+  for (const auto& field : head.fields) {
+    text += field.first;
+    text += ": ";
+    text += field.second;
+    text += "\r\n";
+  }
+  return text + "\r\n";
+}
+
+// What Beast lets pass and two programs could read differently.
+bool IsAmbiguous(const HttpHead& head) {
+  if (head.Count("transfer-encoding") > 1) return true;
+  if (head.Has("transfer-encoding") &&
+      !SameName(head.Field("transfer-encoding"), "chunked")) {
+    return true;
+  }
+  return head.Count("host") > 1;
+}
+
+}  // namespace
+
+bool SameName(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         std::equal(left.begin(), left.end(), right.begin(),
+                    [](char a, char b) { return Lower(a) == Lower(b); });
+}
+
+const std::string& HttpHead::Field(std::string_view name) const {
+  static const std::string none;
+  for (const auto& field : fields) {
+    if (SameName(field.first, name)) return field.second;
+  }
+  return none;
+}
+
+bool HttpHead::Has(std::string_view name) const { return Count(name) > 0; }
+
+size_t HttpHead::Count(std::string_view name) const {
+  return static_cast<size_t>(std::count_if(
+      fields.begin(), fields.end(),
+      [name](const auto& field) { return SameName(field.first, name); }));
+}
+
+void HttpHead::Remove(std::string_view name) {
+  fields.erase(std::remove_if(fields.begin(), fields.end(),
+                              [name](const auto& field) {
+                                return SameName(field.first, name);
+                              }),
+               fields.end());
+}
+
+void HttpHead::Set(std::string_view name, std::string value) {
+  Remove(name);
+  fields.emplace_back(std::string(name), std::move(value));
+}
+
+void RemoveHopFields(HttpHead* head) {
+  for (const std::string& named : Tokens(head->Field("connection"))) {
+    head->Remove(named);
+  }
+  for (std::string_view name : kHopFields) head->Remove(name);
+}
+
+std::string RequestText(const HttpHead& head) {
+  return head.method + " " + head.target + " HTTP/1.1\r\n" + FieldsText(head);
+}
+
+std::string ResponseText(const HttpHead& head) {
+  auto reason = http::obsolete_reason(http::int_to_status(head.status));
+  return "HTTP/1.1 " + std::to_string(head.status) + " " +
+         std::string(reason.data(), reason.size()) + "\r\n" + FieldsText(head);
+}
+
+std::string ChunkText(std::string_view bytes) {
+  char size[20];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  std::string text = size;
+  text.append(bytes);
+  text += "\r\n";
+  return text;
+}
+
+class HttpReader::Base {
+ public:
+  virtual ~Base() = default;
+  virtual size_t Put(std::string_view bytes, beast::error_code* error) = 0;
+  virtual void PutEof(beast::error_code* error) = 0;
+  virtual bool done() const = 0;
+  virtual bool started() const = 0;
+  virtual bool has_head() const = 0;
+};
+
+template <bool kIsRequest>
+class HttpReader::Parser : public HttpReader::Base,
+                           public http::basic_parser<kIsRequest> {
+  using Super = http::basic_parser<kIsRequest>;
+  using View = beast::string_view;
+
+ public:
+  Parser(const Limits& limits, Observer* observer) : observer_(observer) {
+    Super::eager(true);
+    Super::header_limit(static_cast<uint32_t>(limits.head_bytes));
+    Super::body_limit(limits.body_bytes);
+  }
+
+  size_t Put(std::string_view bytes, beast::error_code* error) override {
+    return Super::put(boost::asio::buffer(bytes.data(), bytes.size()), *error);
+  }
+  void PutEof(beast::error_code* error) override { Super::put_eof(*error); }
+  bool done() const override { return Super::is_done(); }
+  bool started() const override { return Super::got_some(); }
+  bool has_head() const override { return Super::is_header_done(); }
+
+ private:
+  void on_request_impl(http::verb, View method, View target, int version,
+                       beast::error_code&) override {
+    head_.method = std::string(method);
+    head_.target = std::string(target);
+    head_.minor_version = version % 10;
+  }
+  void on_response_impl(int code, View, int version,
+                        beast::error_code&) override {
+    head_.status = code;
+    head_.minor_version = version % 10;
+  }
+  void on_field_impl(http::field, View name, View value,
+                     beast::error_code&) override {
+    head_.fields.emplace_back(std::string(name), std::string(value));
+  }
+  void on_header_impl(beast::error_code& error) override {
+    if (IsAmbiguous(head_)) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
+    auto length = Super::content_length();
+    head_.keep_alive = Super::keep_alive();
+    head_.chunked = Super::chunked();
+    head_.has_length = length.has_value() || head_.chunked;
+    head_.content_length = length.value_or(0);
+    observer_->OnHead(std::move(head_));
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         beast::error_code&) override {}
+  std::size_t on_body_impl(View body, beast::error_code&) override {
+    observer_->OnBody({body.data(), body.size()});
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, View, beast::error_code&) override {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t, View body,
+                                 beast::error_code&) override {
+    observer_->OnBody({body.data(), body.size()});
+    return body.size();
+  }
+  void on_finish_impl(beast::error_code&) override { observer_->OnEnd(); }
+
+  Observer* const observer_;
+  HttpHead head_;
+};
+
+HttpReader::HttpReader(Kind kind, const Limits& limits, Observer* observer)
+    : kind_(kind), limits_(limits), observer_(observer) {
+  Reset();
+}
+
+HttpReader::~HttpReader() = default;
+
+void HttpReader::Reset() {
+  if (kind_ == kRequests) {
+    parser_ = std::make_unique<Parser<true>>(limits_, observer_);
+  } else {
+    parser_ = std::make_unique<Parser<false>>(limits_, observer_);
+  }
+  held_.clear();
+  error_ = kNone;
+}
+
+bool HttpReader::any_read() const {
+  return !held_.empty() || parser_->started();
+}
+
+bool HttpReader::done() const { return parser_->done(); }
+
+bool HttpReader::Feed(std::string_view bytes, size_t* used) {
+  size_t before = held_.size();
+  std::string joined;
+  if (before > 0) {
+    joined = std::move(held_);
+    joined.append(bytes);
+    held_.clear();
+    bytes = joined;
+  }
+  size_t taken = 0;
+  while (taken < bytes.size() && !parser_->done()) {
+    beast::error_code error;
+    size_t size = parser_->Put(bytes.substr(taken), &error);
+    taken += size;
+    if (error == http::error::need_more) {
+      // What is left belongs to a line that is not whole yet.
+      held_.assign(bytes.substr(taken));
+      taken = bytes.size();
+      if (held_.size() > limits_.head_bytes) error_ = kHeadTooLarge;
+      break;
+    }
+    if (error == http::error::header_limit) error_ = kHeadTooLarge;
+    else if (error == http::error::body_limit) error_ = kBodyTooLarge;
+    else if (error) error_ = kMalformed;
+    if (error_ != kNone || size == 0) break;
+  }
+  *used = taken - before;
+  return error_ == kNone;
+}
+
+bool HttpReader::Closed() {
+  if (done()) return true;
+  if (!any_read()) return true;
+  beast::error_code error;
+  parser_->PutEof(&error);
+  if (error || !parser_->done()) error_ = kCutShort;
+  return error_ == kNone;
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/net/http_codec.h
@@ -0,0 +1,108 @@
+// HTTP/1.1 messages as values, and a reader that is fed bytes as they come.
+//
+// Framing is Boost.Beast's. The reader refuses what could be read in two ways
+// by two programs: two lengths, a length beside an encoding, an encoding that
+// is not exactly "chunked", two hosts.
+//
+//   HttpReader reader(HttpReader::kResponses, limits, &observer);
+//   size_t used;
+//   if (!reader.Feed(bytes, &used)) ...   // reader.error() says why
+//   reader.Closed();                      // the connection ended
+
+#ifndef NET_HTTP_CODEC_H_
+#define NET_HTTP_CODEC_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace leverwick {
+
+// The start line and the fields of a message.
+struct HttpHead {
+  std::string method;  // requests
+  std::string target;  // requests
+  int status = 0;      // responses
+  int minor_version = 1;
+  std::vector<std::pair<std::string, std::string>> fields;
+  // Decided by the framing:
+  bool keep_alive = true;
+  bool has_length = false;  // false with a body: ends with the connection
+  bool chunked = false;
+  uint64_t content_length = 0;
+
+  // The first value of a field, whatever its case; "" when there is none.
+  const std::string& Field(std::string_view name) const;
+  bool Has(std::string_view name) const;
+  size_t Count(std::string_view name) const;
+  void Remove(std::string_view name);
+  void Set(std::string_view name, std::string value);
+};
+
+bool SameName(std::string_view left, std::string_view right);
+
+// Drops the fields that concern one connection only, and the framing.
+void RemoveHopFields(HttpHead* head);
+
+// The head as bytes, with the blank line; fields only as they stand.
+std::string RequestText(const HttpHead& head);
+std::string ResponseText(const HttpHead& head);
+
+// One chunk of a chunked body; the last chunk is kLastChunk.
+std::string ChunkText(std::string_view bytes);
+constexpr char kLastChunk[] = "0\r\n\r\n";
+
+class HttpReader {
+ public:
+  enum Kind { kRequests, kResponses };
+  enum Error { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge, kCutShort };
+
+  struct Limits {
+    size_t head_bytes = 64 * 1024;
+    uint64_t body_bytes = 64u << 20;
+  };
+
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    virtual void OnHead(HttpHead head) = 0;
+    virtual void OnBody(std::string_view bytes) = 0;
+    virtual void OnEnd() = 0;
+  };
+
+  HttpReader(Kind kind, const Limits& limits, Observer* observer);
+  ~HttpReader();
+
+  // Reads one message and stops behind its end: `used` bytes were taken.
+  // False when the message is malformed.
+  bool Feed(std::string_view bytes, size_t* used);
+
+  // The connection ended cleanly. False when that cuts a message short.
+  bool Closed();
+
+  // Ready for the next message on the connection.
+  void Reset();
+
+  bool any_read() const;  // a byte of the message was seen
+  bool done() const;
+  Error error() const { return error_; }
+
+ private:
+  template <bool kIsRequest>
+  class Parser;
+  class Base;
+
+  Kind kind_;
+  Limits limits_;
+  Observer* observer_;
+  std::unique_ptr<Base> parser_;
+  std::string held_;  // bytes of a head that is not whole yet
+  Error error_ = kNone;
+};
+
+}  // namespace leverwick
+
+#endif  // NET_HTTP_CODEC_H_
--- /dev/null
+++ b/net/tcp_connection.h
@@ -0,0 +1,101 @@
+// One TCP connection on the event loop.
+//
+// Bytes are read as they arrive into a buffer that all connections of a
+// thread share, so that an idle connection holds no buffer of its own. Writes
+// are queued; `pending_bytes` tells a producer when to wait. A connection that
+// is closed calls its observer no more.
+//
+//   auto connection = std::make_shared<TcpConnection>(std::move(socket));
+//   connection->Start(&observer);
+//   connection->Write("...");
+//   connection->Close();
+
+#ifndef NET_TCP_CONNECTION_H_
+#define NET_TCP_CONNECTION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+// Not thread-safe: belongs to the thread that runs its event loop.
+class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    virtual void OnBytes(std::string_view bytes) = 0;
+    // The other side closed (no error) or the connection broke. Called once.
+    virtual void OnClosed(std::error_code why) = 0;
+    // All queued bytes were taken by the kernel.
+    virtual void OnDrained() {}
+  };
+
+  explicit TcpConnection(Socket socket) : socket_(std::move(socket)) {}
+
+  // Begins to read; `observer` must outlive the connection or its Close.
+  void Start(Observer* observer);
+
+  void Write(std::string bytes);
+
+  // Lets the queued bytes leave, then closes; the observer is not told.
+  void CloseWhenDrained();
+  void Close();
+
+  // A slow receiver elsewhere: stop reading, and go on again.
+  void PauseReading() { paused_ = true; }
+  void ResumeReading();
+
+  bool is_open() const { return socket_.is_open(); }
+  // Whether the kernel has been given any byte since `ForgetSent`.
+  bool any_sent() const { return any_sent_; }
+  void ForgetSent() { any_sent_ = false; }
+  size_t pending_bytes() const { return pending_bytes_; }
+
+ private:
+  void AwaitBytes();
+  void ReadBytes();
+  void WriteSome();
+  void OnWritable();
+  void Linger();
+  void Fail(std::error_code why);
+
+  Socket socket_;
+  Observer* observer_ = nullptr;
+  std::deque<std::string> queue_;
+  size_t front_offset_ = 0;  // bytes of the first string that were written
+  size_t pending_bytes_ = 0;
+  bool any_sent_ = false;
+  bool awaiting_writable_ = false;
+  bool awaiting_bytes_ = false;
+  bool paused_ = false;
+  bool close_when_drained_ = false;
+};
+
+// Connects within `limit` and gives an open connection or an error.
+using ConnectCallback = std::function<void(
+    std::error_code error, std::shared_ptr<TcpConnection> connection)>;
+void ConnectTcp(boost::asio::io_context* loop,
+                const boost::asio::ip::tcp::endpoint& address,
+                milliseconds limit, ConnectCallback callback);
+
+// Options of every connection: no delay for small writes, and the kernel's
+// own notice of a peer that fell silent.
+void SetTcpOptions(TcpConnection::Socket* socket);
+
+// "ip:port" as an address; false when it is malformed.
+bool ParseAddress(const std::string& text,
+                  boost::asio::ip::tcp::endpoint* address);
+
+}  // namespace leverwick
+
+#endif  // NET_TCP_CONNECTION_H_
