Cascade: the smallest model first, the largest when its confidence is low

Ruled out: the middle model as a second step (its cost is half of the largest's, and it answers only a narrow band that the smallest does not).

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -24,6 +24,7 @@
 #include "leverwick/endpoints.h"
 #include "leverwick/estimates.h"
 #include "leverwick/guard.h"
+#include "leverwick/model_cascade.h"
 #include "leverwick/read_proof.h"
 #include "leverwick/retry_budget.h"
 #include "leverwick/service_config.h"
@@ -43,6 +44,7 @@
   double retry_share = 0.6;  // sends beyond a request's first, of requests
   double retry_start = 2;    // saved up by a box that has just started
   double retry_most = 5;     // saved up by a quiet box
+  double weak_answer = 0.6;  // confidence under which a larger model is asked
   RolloutOptions rollout;
   HttpConnectionsOptions connections;
 };
@@ -93,6 +95,7 @@
   ServiceRollouts rollouts_;
   Estimates estimates_;
   Guard guard_;
+  ModelCascade cascade_;
   HttpConnections connections_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -80,6 +80,10 @@
     if (self->try_ && self->try_->call) self->try_->call->ResumeReading();
   });
   relay_->BudgetOf(service_)->Count();
+  if (request_.any_model) {
+    model_ = relay_->cascade_.First(route_, config_->FindService(service_),
+                                    relay_->Draw());
+  }
   Dispatch();
 }
 
@@ -155,7 +159,7 @@
   order.time_left = std::max(TimeLeft(Clock::now()), milliseconds(1));
   order.last_event_id = events_.last_id();
   if (request_.any_model && !route_.models.empty()) {
-    order.model = route_.models.back();
+    order.model = route_.models[model_];
   }
   HttpHead head = relay_->dialect_->ToEndpoint(exchange_->head(), order);
   const std::string& body = exchange_->body();
@@ -179,10 +183,45 @@
   try_->head = head;
   try_->streams =
       answer.succeeded() && answer.signed_whole && answer.event_stream;
+  try_->weak = IsTooWeak();
+  // Not from inside the reader of the answer that is dropped.
+  if (try_->weak) {
+    boost::asio::post(*relay_->loop_, [self = shared_from_this()] {
+      self->AskLargerModel();
+    });
+  }
   return true;
 }
 
+bool RelayedRequest::IsTooWeak() {
+  const AnswerHead& answer = try_->answer;
+  bool could_ask = request_.any_model && route_.repeatable() &&
+                   answer.succeeded() && answer.confidence && !stream_started_;
+  if (!could_ask) return false;
+  double confidence = *answer.confidence / 100.0;
+  relay_->cascade_.Answered(route_.name, model_, confidence);
+  size_t better = ModelCascade::Better(route_, model_);
+  return better != model_ && relay_->cascade_.IsWeak(confidence) &&
+         log_.attempts_left() && TimeLeft(Clock::now()) > route_.objective / 4 &&
+         relay_->BudgetOf(service_)->Take();
+}
+
+void RelayedRequest::AskLargerModel() {
+  if (finished_ || !try_ || !try_->weak) return;
+  if (try_->call) try_->call->Abort();
+  ReleaseEndpoint(true);
+  relay_->metrics_.Add("leverwick_weak_answers_total",
+                       "route=\"" + route_.name + "\"", 1);
+  events_.DropHalf();
+  log_.Dropped();
+  // The same endpoint may hold the prompt's parts for the larger model too.
+  tried_.clear();
+  model_ = ModelCascade::Better(route_, model_);
+  Dispatch();
+}
+
 void RelayedRequest::OnAnswerBody(std::string_view bytes) {
+  if (try_->weak) return;
   if (try_->streams) return PassEvents(bytes);
   try_->body.append(bytes);
 }
@@ -205,6 +244,7 @@
 
 void RelayedRequest::OnAnswerEnd() {
   auto self = shared_from_this();
+  if (try_->weak) return;  // AskLargerModel is on its way
   if (!try_->streams) return OnWholeAnswer();
   if (events_.has_half()) return EndTry(AttemptOutcome::kBroken);
   ReleaseEndpoint(true);
@@ -242,6 +282,7 @@
 
 void RelayedRequest::OnCallFailed(const ClientCall::Failure& failure) {
   auto self = shared_from_this();
+  if (try_->weak) return;  // AskLargerModel is on its way
   kLog.Info("A try broke.", {{"request", request_.id},
                              {"endpoint", try_->endpoint},
                              {"sent", failure.sent ? "yes" : "no"},
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -43,6 +43,7 @@
     HttpHead head;
     std::string body;
     bool streams = false;  // a success whose events are passed on
+    bool weak = false;     // is to be dropped for a larger model's answer
   };
 
   // Sending.
@@ -59,6 +60,8 @@
   void OnCallFailed(const ClientCall::Failure& failure) override;
 
   // Judging a try.
+  bool IsTooWeak();
+  void AskLargerModel();
   void OnWholeAnswer();
   void EndTry(AttemptOutcome outcome);
   bool MayResend(AttemptOutcome outcome);
@@ -88,6 +91,7 @@
   AttemptLog log_;
   std::set<std::string> tried_;
   int dispatches_ = 0;
+  size_t model_ = 0;  // index among the route's models
   std::optional<Try> try_;
   // A stream that is passed on.
   EventSplitter events_;
--- a/leverwick/attempts.h
+++ b/leverwick/attempts.h
@@ -37,6 +37,9 @@
   // A try begins; it counts as one endpoint that the request is sent to.
   void Sent() { ++attempts_; }
 
+  // The try's answer was given up for a better one: it has run.
+  void Dropped() { may_have_run_ = true; }
+
   // `may_resend`: the retry budget and the time left allow another try.
   NextStep After(AttemptOutcome outcome, bool may_resend);
 
