--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -62,6 +62,9 @@
   CallerRequest request;
   bool readable = dialect_->ReadRequest(exchange->head(), &request);
   if (!readable) return Refuse(exchange, "", Result::kBadRequest, {});
+  if (!intake_) {
+    return Refuse(exchange, request.id, Result::kStopping, kComeBackElsewhere);
+  }
   if (config_ == nullptr) {
     return Refuse(exchange, request.id, Result::kNotReady, kComeBackElsewhere);
   }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -67,6 +67,11 @@
   ReadProof* proof() { return &proof_; }
   EndpointDirectory* directory() { return &directory_; }
   ServiceRollouts* rollouts() { return &rollouts_; }
+  Guard* guard() { return &guard_; }
+
+  // A planned stop goes on for too long to begin more work: what comes from
+  // now on is told that it has not run.
+  void StopIntake() { intake_ = false; }
 
   Metrics* metrics() { return &metrics_; }
   size_t open_requests() const { return open_.size(); }
@@ -101,6 +106,7 @@
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
   std::set<std::shared_ptr<RelayedRequest>> open_;
   std::mt19937_64 random_;
+  bool intake_ = true;
 };
 
 }  // namespace leverwick
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -106,6 +106,8 @@
       service_, request_.session.empty() ? request_.id : request_.session, now);
   std::string target = relay_->rollouts_.TargetOf(service_);
   using Side = ServiceRollouts::Side;
+  // What a new version failed to answer, the version before it may.
+  if (failed_on_target_) side = Side::kBaseline;
   auto pick = [&](Side wanted) {
     return relay_->pool_
         .Pick(service_, Affinity(), tried_, now,
@@ -268,6 +270,8 @@
   bool own_failure = answer.status >= 500 || PromisesNotRun(answer.status);
   if (own_failure) {
     NoteEvidence(true);
+    failed_on_target_ =
+        try_->version == relay_->rollouts_.TargetOf(service_);
     failure_.reset();
     if (!PromisesNotRun(answer.status)) failure_ = {try_->head, try_->body};
     return EndTry(AttemptOutcome::kFailed);
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -91,6 +91,7 @@
   AttemptLog log_;
   std::set<std::string> tried_;
   int dispatches_ = 0;
+  bool failed_on_target_ = false;  // of a roll-out
   size_t model_ = 0;  // index among the route's models
   std::optional<Try> try_;
   // A stream that is passed on.
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -94,11 +94,12 @@
   return found != rollouts_.end() && !Ended(found->second.step);
 }
 
-bool ServiceRollouts::AnyActive() const {
+std::vector<std::string> ServiceRollouts::active_services() const {
+  std::vector<std::string> active;
   for (const auto& entry : rollouts_) {
-    if (!Ended(entry.second.step)) return true;
+    if (!Ended(entry.second.step)) active.push_back(entry.first);
   }
-  return false;
+  return active;
 }
 
 bool ServiceRollouts::IsWatched(const std::string& service) const {
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -82,7 +82,8 @@
   std::string TargetOf(const std::string& service) const;
   // Whether the order is still being carried out, as far as this box knows.
   bool IsActive(const std::string& service) const;
-  bool AnyActive() const;
+  bool AnyActive() const { return !active_services().empty(); }
+  std::vector<std::string> active_services() const;
   // Whether the target is held against the version before it.
   bool IsWatched(const std::string& service) const;
 
