Roll-outs: sessions pinned by all boxes, errors weighed with a padded baseline

Change: with the order each box publishes the sessions of the target's share that it has just served; evidence counts from the first answer, against a baseline padded with 10 answers, and trips at 9 instead of 14.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -14,6 +14,9 @@
 // A caller that came before the box was ready, or to a box that can't prove
 // its configuration: another box may take it at once.
 constexpr milliseconds kComeBackElsewhere{100};
+// A roll-out gives some dozen answers of a service with little traffic. Two or
+// three slow or failed ones in a row don't reach this, four or five do.
+constexpr double kTripThreshold = 9;
 
 }  // namespace
 
@@ -26,7 +29,7 @@
       proof_(options.proof_age),
       rollouts_(options.rollout),
       estimates_(options.life),
-      guard_(options.life),
+      guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
       connections_(loop, options.connections),
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -66,7 +66,10 @@
     if (self->try_ && self->try_->call) self->try_->call->ResumeReading();
   });
   relay_->BudgetOf(service_)->Count();
-  side_ = relay_->rollouts_.SideFor(service_, SessionKey(), Clock::now());
+  const std::string& session = request_.session;
+  side_ = relay_->rollouts_.SideFor(service_,
+                                    session.empty() ? request_.id : session);
+  NoteSession();
   if (request_.any_model) {
     model_ = relay_->cascade_.First(route_, config_->FindService(service_),
                                     relay_->Draw());
@@ -78,8 +81,9 @@
   return std::chrono::duration_cast<milliseconds>(deadline_ - now);
 }
 
-std::string RelayedRequest::SessionKey() const {
-  return request_.session.empty() ? request_.id : request_.session;
+void RelayedRequest::NoteSession() {
+  if (request_.session.empty()) return;
+  relay_->rollouts_.Served(service_, request_.session, Clock::now());
 }
 
 uint64_t RelayedRequest::Affinity() const {
@@ -374,7 +378,7 @@
     try_->call->Abort();
     ReleaseEndpoint(true);
   }
-  relay_->rollouts_.Ended(service_, SessionKey(), Clock::now());
+  NoteSession();
   auto took = std::chrono::duration_cast<milliseconds>(Clock::now() -
                                                        exchange_->received());
   relay_->metrics_.Add("leverwick_requests_total",
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -52,7 +52,7 @@
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
   uint64_t Affinity() const;
-  std::string SessionKey() const;
+  void NoteSession();
 
   // ClientCall::Observer.
   bool OnAnswerHead(const HttpHead& head) override;
--- a/daemon/version_watch.cc
+++ b/daemon/version_watch.cc
@@ -17,9 +17,13 @@
 
 const Log kLog("rollout");
 
-// A target is bad if this many more of its answers fail.
-constexpr double kMoreErrors = 0.15;
-const GuardLimits kErrorsOnly{kMoreErrors, 1.0, 0};
+// A target is bad if this many more of its answers fail. A service with little
+// traffic gives a box few answers to compare with, so these are padded.
+constexpr double kMoreErrors = 0.3;
+constexpr double kPriorAnswers = 10;
+constexpr double kPriorErrors = 0.1;
+const GuardLimits kErrorsOnly{kMoreErrors, 1.0, 0, kPriorAnswers,
+                              kPriorErrors};
 // A pace this many times the baseline's fastest tenth is slow.
 constexpr double kSlowPace = 2.5;
 constexpr double kFastest = 0.1;
--- a/leverwick/guard.cc
+++ b/leverwick/guard.cc
@@ -12,8 +12,6 @@
 namespace leverwick {
 namespace {
 
-// Mean number of answers between false trips grows as exp of this.
-constexpr double kThreshold = 14;
 constexpr double kCap = 3;
 constexpr double kLeastBaseline = 30;
 constexpr double kLeastErrorRate = 0.005;
@@ -29,7 +27,9 @@
 
 double ErrorWeight(const GuardLimits& limits, const VersionView& baseline,
                    bool error) {
-  double before = std::max(kLeastErrorRate, baseline.errors / baseline.answers);
+  double errors = baseline.errors + limits.prior_answers * limits.prior_errors;
+  double answers = baseline.answers + limits.prior_answers;
+  double before = std::max(kLeastErrorRate, errors / answers);
   double after = std::min(0.99, before + limits.error_increase);
   return Capped(error ? std::log(after / before)
                       : std::log((1 - after) / (1 - before)));
@@ -70,10 +70,12 @@
   Subject& state = subjects_[subject];
   GuardSum& own = state.own;
   own.set_answers(own.answers() + 1);
-  if (baseline.answers < kLeastBaseline) return;
+  bool enough = baseline.answers >= kLeastBaseline || limits.prior_answers > 0;
+  if (!enough) return;
   own.set_errors(own.errors() +
                  ErrorWeight(limits, baseline, observation.error));
-  if (!observation.error && limits.latency_ratio > 1) {
+  bool timed = baseline.answers >= kLeastBaseline && limits.latency_ratio > 1;
+  if (!observation.error && timed) {
     own.set_latency(own.latency() +
                     LatencyWeight(limits, baseline, observation.latency));
   }
@@ -122,7 +124,7 @@
                                           "poorer answers"};
   for (int i = 0; i < 3; ++i) {
     subject->lowest[i] = std::min(subject->lowest[i], totals[i]);
-    if (subject->tripped || totals[i] - subject->lowest[i] < kThreshold) {
+    if (subject->tripped || totals[i] - subject->lowest[i] < threshold_) {
       continue;
     }
     subject->tripped = true;
--- a/leverwick/guard.h
+++ b/leverwick/guard.h
@@ -30,6 +30,10 @@
   double error_increase = 0.05;
   double rating_drop = 0.1;
   double latency_ratio = 1.5;
+  // Answers that a baseline of few answers is padded with, and the share of
+  // them that is taken to have failed; 0: such a baseline weighs nothing.
+  double prior_answers = 0;
+  double prior_errors = 0.1;
 };
 
 GuardLimits LimitsOf(const Rollout& rollout);
@@ -37,7 +41,11 @@
 // Thread-safe.
 class Guard {
  public:
-  explicit Guard(std::string life) : life_(std::move(life)) {}
+  // The mean number of answers between false trips grows as exp of this.
+  static constexpr double kThreshold = 14;
+
+  explicit Guard(std::string life, double threshold = kThreshold)
+      : life_(std::move(life)), threshold_(threshold) {}
 
   // An answer of the subject; `baseline` are the answers it is held against.
   void Answered(const std::string& subject, const GuardLimits& limits,
@@ -79,6 +87,7 @@
   void Check(Subject* subject);
 
   const std::string life_;
+  const double threshold_;
   mutable std::mutex mutex_;
   std::map<std::string, Subject> subjects_;
 };
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -5,6 +5,8 @@
 
 #include "leverwick/service_rollouts.h"
 
+#include <limits>
+
 #include "leverwick/digest.h"
 
 namespace leverwick {
@@ -51,51 +53,56 @@
   found->second.why = why;
 }
 
-bool ServiceRollouts::IsOnTarget(const Rollout& rollout,
-                                 const std::string& service,
-                                 const std::string& session,
-                                 const Session* known) const {
-  if (rollout.tripped || rollout.step == RolloutStep::kRolledBack) return false;
-  if (rollout.step >= RolloutStep::kAll) return true;
-  if (known != nullptr && known->on_target) return true;
-  bool wider = rollout.step == RolloutStep::kWider;
-  if (known != nullptr && !wider) return false;
-  double draw = UnitHash(service + "/" + rollout.target + "/" + session);
-  return draw < options_.target_share;
-}
-
-ServiceRollouts::Side ServiceRollouts::SideFor(const std::string& service,
-                                               const std::string& session,
-                                               TimePoint now) {
-  auto key = std::make_pair(service, session);
-  auto seen = sessions_.find(key);
-  const Session* known = nullptr;
-  if (seen != sessions_.end() && !IsOver(seen->second, now)) {
-    known = &seen->second;
-  }
+bool ServiceRollouts::IsInShare(const std::string& service,
+                                const Rollout& rollout,
+                                uint64_t session) const {
+  uint64_t mixed = StableHash(service + "/" + rollout.target, session);
+  return static_cast<double>(mixed) <
+         options_.target_share *
+             static_cast<double>(std::numeric_limits<uint64_t>::max());
+}
+
+ServiceRollouts::Side ServiceRollouts::SideFor(
+    const std::string& service, const std::string& session) const {
   auto found = rollouts_.find(service);
-  bool on_target = found != rollouts_.end() &&
-                   IsOnTarget(found->second, service, session, known);
-  if (!session.empty()) {
-    Session& entry = sessions_[key];
-    entry.on_target = on_target;
-    entry.last = now;
-    ++entry.open;
-  }
   if (found == rollouts_.end()) return Side::kAny;
+  const Rollout& rollout = found->second;
+  if (!MayUseTarget(service)) return Side::kBaseline;
+  if (rollout.step >= RolloutStep::kAll) return Side::kTarget;
+  uint64_t hash = StableHash(session);
+  bool pinned = rollout.step == RolloutStep::kCanary &&
+                rollout.pinned.count(hash) > 0;
+  bool on_target = !pinned && IsInShare(service, rollout, hash);
   return on_target ? Side::kTarget : Side::kBaseline;
 }
 
-void ServiceRollouts::Ended(const std::string& service,
-                            const std::string& session, TimePoint now) {
-  auto found = sessions_.find({service, session});
-  if (found == sessions_.end()) return;
-  found->second.last = now;
-  if (found->second.open > 0) --found->second.open;
+void ServiceRollouts::Served(const std::string& service,
+                             const std::string& session, TimePoint now) {
+  sessions_[service][StableHash(session)] = now;
 }
 
-bool ServiceRollouts::IsOver(const Session& session, TimePoint now) const {
-  return session.open == 0 && now - session.last > options_.session_pause;
+std::vector<uint64_t> ServiceRollouts::RecentSessions(
+    const std::string& service, TimePoint now) const {
+  std::vector<uint64_t> recent;
+  auto rollout = rollouts_.find(service);
+  auto known = sessions_.find(service);
+  if (rollout == rollouts_.end() || known == sessions_.end()) return recent;
+  for (const auto& session : known->second) {
+    bool over = now - session.second > options_.session_pause;
+    if (over || !IsInShare(service, rollout->second, session.first)) continue;
+    recent.push_back(session.first);
+  }
+  return recent;
+}
+
+void ServiceRollouts::Pin(const std::string& service,
+                          const std::string& target_version,
+                          const std::vector<uint64_t>& sessions) {
+  auto found = rollouts_.find(service);
+  if (found == rollouts_.end() || found->second.target != target_version) {
+    return;
+  }
+  found->second.pinned.insert(sessions.begin(), sessions.end());
 }
 
 std::string ServiceRollouts::TargetOf(const std::string& service) const {
@@ -166,8 +173,12 @@
 }
 
 void ServiceRollouts::Expire(TimePoint now) {
-  for (auto session = sessions_.begin(); session != sessions_.end();) {
-    session = IsOver(session->second, now) ? sessions_.erase(session) : std::next(session);
+  for (auto& service : sessions_) {
+    auto& sessions = service.second;
+    for (auto session = sessions.begin(); session != sessions.end();) {
+      bool over = now - session->second > options_.session_pause;
+      session = over ? sessions.erase(session) : std::next(session);
+    }
   }
 }
 
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -17,8 +17,11 @@
 #ifndef LEVERWICK_SERVICE_ROLLOUTS_H_
 #define LEVERWICK_SERVICE_ROLLOUTS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "leverwick/time.h"
@@ -77,12 +80,19 @@
   // The target version is bad. Holds at once and is never undone.
   void Trip(const std::string& service, const std::string& why);
 
-  // Where a request of `session` runs. Remembers the session.
-  Side SideFor(const std::string& service, const std::string& session,
-               TimePoint now);
-  // A request of the session ended: its pause begins now.
-  void Ended(const std::string& service, const std::string& session,
-             TimePoint now);
+  // Where a request of `session` (or, without one, of that id) runs.
+  Side SideFor(const std::string& service, const std::string& session) const;
+
+  // A request of the session began or ended here.
+  void Served(const std::string& service, const std::string& session,
+              TimePoint now);
+  // Hashes of the sessions of the target's share that this box has served
+  // within the longest pause.
+  std::vector<uint64_t> RecentSessions(const std::string& service,
+                                       TimePoint now) const;
+  // These sessions stay on the version before the target for now.
+  void Pin(const std::string& service, const std::string& target_version,
+           const std::vector<uint64_t>& sessions);
 
   // The version that an order names; empty when there is no order.
   std::string TargetOf(const std::string& service) const;
@@ -113,21 +123,18 @@
     bool recorded = false;  // the shared record names this target
     bool tripped = false;   // by this box
     std::string why;
-  };
-  struct Session {
-    bool on_target = false;
-    size_t open = 0;  // requests under way
-    TimePoint last{};
+    std::unordered_set<uint64_t> pinned;  // sessions, by hash
   };
 
-  bool IsOnTarget(const Rollout& rollout, const std::string& service,
-                  const std::string& session, const Session* known) const;
-  bool IsOver(const Session& session, TimePoint now) const;
+  // Whether the session belongs to the share that runs on the target first.
+  bool IsInShare(const std::string& service, const Rollout& rollout,
+                 uint64_t session) const;
   bool IsDue(const Rollout& rollout, RolloutStep* next, TimePoint now) const;
 
   const RolloutOptions options_;
   std::map<std::string, Rollout> rollouts_;  // by service
-  std::map<std::pair<std::string, std::string>, Session> sessions_;
+  // When each session was last served here, by service.
+  std::map<std::string, std::unordered_map<uint64_t, TimePoint>> sessions_;
 };
 
 const char* RolloutStepName(RolloutStep step);
