--- a/leverwick/guard.cc
+++ b/leverwick/guard.cc
@@ -112,14 +112,32 @@
   Check(&state);
 }
 
-void Guard::Check(Subject* subject) {
-  double totals[3] = {subject->own.errors(), subject->own.latency(),
-                      subject->own.rating()};
-  for (const auto& entry : subject->others) {
+std::array<double, 3> Guard::Totals(const Subject& subject) {
+  std::array<double, 3> totals = {subject.own.errors(), subject.own.latency(),
+                                  subject.own.rating()};
+  for (const auto& entry : subject.others) {
     totals[0] += entry.second.errors();
     totals[1] += entry.second.latency();
     totals[2] += entry.second.rating();
   }
+  return totals;
+}
+
+double Guard::Suspicion(const std::string& subject) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  auto found = subjects_.find(subject);
+  if (found == subjects_.end()) return 0;
+  if (found->second.tripped) return 1;
+  std::array<double, 3> totals = Totals(found->second);
+  double highest = 0;
+  for (size_t i = 0; i < totals.size(); ++i) {
+    highest = std::max(highest, totals[i] - found->second.lowest[i]);
+  }
+  return highest / threshold_;
+}
+
+void Guard::Check(Subject* subject) {
+  std::array<double, 3> totals = Totals(*subject);
   static const char* const kReasons[3] = {"more errors", "slower",
                                           "poorer answers"};
   for (int i = 0; i < 3; ++i) {
--- a/leverwick/guard.h
+++ b/leverwick/guard.h
@@ -14,6 +14,7 @@
 #ifndef LEVERWICK_GUARD_H_
 #define LEVERWICK_GUARD_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -65,6 +66,9 @@
 
   bool Tripped(const std::string& subject, std::string* why) const;
 
+  // How near the subject is to a trip: 0 not at all, 1 tripped.
+  double Suspicion(const std::string& subject) const;
+
   // Answers of the subject counted by all boxes.
   uint64_t Answers(const std::string& subject) const;
 
@@ -84,6 +88,7 @@
     std::string why;
   };
 
+  static std::array<double, 3> Totals(const Subject& subject);
   void Check(Subject* subject);
 
   const std::string life_;
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -33,16 +33,24 @@
   rollout.target = target_version;
   rollout.duration = duration;
   rollout.ordered_at = now;
+  rollout.step_at = now;
 }
 
-void ServiceRollouts::Learned(const RolloutRecord& record, TimePoint) {
+void ServiceRollouts::Learned(const RolloutRecord& record, TimePoint now) {
   auto found = rollouts_.find(record.service);
   if (found == rollouts_.end()) return;
   Rollout& rollout = found->second;
   if (rollout.target != record.target_version) return;
   rollout.recorded = true;
   if (IsLast(rollout.step)) return;
-  if (record.step > rollout.step) rollout.step = record.step;
+  if (record.step <= rollout.step) return;
+  rollout.step = record.step;
+  rollout.step_at = now;
+}
+
+TimePoint ServiceRollouts::StepSince(const std::string& service) const {
+  auto found = rollouts_.find(service);
+  return found == rollouts_.end() ? TimePoint() : found->second.step_at;
 }
 
 void ServiceRollouts::Trip(const std::string& service,
@@ -157,6 +165,11 @@
                          options_.completed_from};
   auto step = static_cast<size_t>(rollout.step);
   *next = kNext[step];
+  double in_step = ToSeconds(now - rollout.step_at);
+  bool all_too_short = rollout.step == RolloutStep::kAll &&
+                       in_step < options_.all_lasts *
+                                     ToSeconds(rollout.duration);
+  if (all_too_short) return false;
   double elapsed = ToSeconds(now - rollout.ordered_at);
   return elapsed >= from[step] * ToSeconds(rollout.duration);
 }
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -50,14 +50,18 @@
 // Until its ordered time is over, a target that turns out bad may have had 15
 // in 100 of a service's requests (the users' bound), also one that shows only
 // under full load. So all requests go to it only in the last part of that
-// time: 0.93 x 0.07 + 0.07 x 1 = 0.135.
+// time: 0.92 x 0.07 + 0.08 x 1 = 0.144.
 struct RolloutOptions {
   double target_share = 0.07;  // of sessions, before all of them
   // Parts of the ordered time at whose end each step begins. The first half
   // keeps sessions where they are, so kWider begins after it.
   double wider_from = 0.53;
-  double all_from = 0.93;
+  double all_from = 0.92;
   double completed_from = 0.965;
+  // Least time that all requests run on the target before the old version's
+  // endpoints may be stopped, as a part of the ordered time: what a bad version
+  // shows only then must have time to show.
+  double all_lasts = 0.045;
   // How long a session may pause and still be the same.
   milliseconds session_pause{5000};
 };
@@ -77,6 +81,9 @@
   // What the shared record says; a step never goes back.
   void Learned(const RolloutRecord& record, TimePoint now);
 
+  // When this box learned that the step began.
+  TimePoint StepSince(const std::string& service) const;
+
   // The target version is bad. Holds at once and is never undone.
   void Trip(const std::string& service, const std::string& why);
 
@@ -119,6 +126,7 @@
     std::string target;
     milliseconds duration{0};
     TimePoint ordered_at{};
+    TimePoint step_at{};  // when this box learned of the step
     RolloutStep step = RolloutStep::kCanary;
     bool recorded = false;  // the shared record names this target
     bool tripped = false;   // by this box
