--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -25,10 +25,10 @@
 };
 
 struct CallerRequest {
-  std::string id;    // of this try; passed on as it came
-  std::string host;  // in lower case, without the port
-  std::string path;  // without the query
-  std::string key;   // the bearer key; empty: none
+  std::string id;                        // of this try; passed on as it came
+  std::string host;                      // in lower case, without the port
+  std::string path;                      // without the query
+  std::string key;                       // the bearer key; empty: none
   std::optional<milliseconds> patience;  // how long the caller waits
   std::string last_event_id;             // resumes a stream behind this event
   std::string session;                   // empty: none
@@ -51,8 +51,8 @@
 struct AnswerHead {
   int status = 0;
   std::string request_id;
-  bool not_run = false;      // the endpoint says so
-  bool signed_whole = false;  // carries the endpoint's signature
+  bool not_run = false;         // the endpoint says so
+  bool signed_whole = false;    // carries the endpoint's signature
   bool other_endpoint = false;  // the address belongs to another one now
   bool event_stream = false;
   std::optional<int> confidence;  // of the model in its answer, in percent
@@ -74,9 +74,9 @@
   virtual AnswerHead ReadAnswer(const HttpHead& head) const = 0;
 
   // An answer of our own. `come_back_after` only for what has not run.
-  virtual HttpHead Refusal(Result result, const std::string& request_id,
-                           std::optional<milliseconds> come_back_after)
-      const = 0;
+  virtual HttpHead Refusal(
+      Result result, const std::string& request_id,
+      std::optional<milliseconds> come_back_after) const = 0;
 };
 
 }  // namespace leverwick
--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -41,8 +41,7 @@
   bool in_doubt = away_ || now - back_at_ < kReturnTime;
   if (in_doubt && back_at_ != TimePoint{} && !found->second.entry.leaving) {
     found->second.doubtful = true;
-    kLog.Info("Endpoint vanished while the list was away.",
-              {{"endpoint", id}});
+    kLog.Info("Endpoint vanished while the list was away.", {{"endpoint", id}});
     return;
   }
   Erase(id);
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -43,9 +43,8 @@
   }
   kLog.Info("Configuration in force.",
             {{"version", std::to_string(config.version())},
-             {"before", config_ == nullptr
-                            ? "none"
-                            : std::to_string(config_->version())},
+             {"before",
+              config_ == nullptr ? "none" : std::to_string(config_->version())},
              {"routes", std::to_string(config.routes().size())}});
   config_ = std::make_shared<const ServiceConfig>(std::move(config));
   return true;
@@ -98,16 +97,15 @@
   if (!may_come_back) come_back_after.reset();
   metrics_.Add("leverwick_refused_total",
                std::string("result=\"") + info.name + "\"", 1);
-  kLog.Info("Request is refused.",
-            {{"request", request_id},
-             {"result", info.name},
-             {"config", config_ == nullptr
-                            ? "none"
-                            : std::to_string(config_->version())},
-             {"proof_age_ms",
-              std::to_string(std::chrono::duration_cast<milliseconds>(
-                                 proof_.AgeAt(Clock::now()))
-                                 .count())}});
+  kLog.Info(
+      "Request is refused.",
+      {{"request", request_id},
+       {"result", info.name},
+       {"config",
+        config_ == nullptr ? "none" : std::to_string(config_->version())},
+       {"proof_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                           proof_.AgeAt(Clock::now()))
+                                           .count())}});
   exchange->Answer(dialect_->Refusal(result, request_id, come_back_after), "");
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -39,8 +39,8 @@
 class RelayedRequest;
 
 struct RelayOptions {
-  std::string life;         // names this box's life in sums and logs
-  std::string data_centre;  // of this box
+  std::string life;          // names this box's life in sums and logs
+  std::string data_centre;   // of this box
   nanoseconds proof_age{0};  // oldest proof that keyed work is taken on
   double retry_share = 0.6;  // sends beyond a request's first, of requests
   double retry_start = 2;    // saved up by a box that has just started
@@ -60,9 +60,7 @@
 
   // Replaces the configuration; one that is not newer changes nothing.
   bool SetConfig(ServiceConfig config);
-  const std::shared_ptr<const ServiceConfig>& config() const {
-    return config_;
-  }
+  const std::shared_ptr<const ServiceConfig>& config() const { return config_; }
 
   // What the adapter feeds.
   ReadProof* proof() { return &proof_; }
--- a/daemon/relay_server.h
+++ b/daemon/relay_server.h
@@ -50,8 +50,7 @@
   bool stopping() const { return stopping_; }
 
  private:
-  std::error_code ListenAt(AsyncHttpServer* server,
-                           const std::string& address);
+  std::error_code ListenAt(AsyncHttpServer* server, const std::string& address);
   void AnswerReady(ServerExchange* exchange);
   void AnswerMetrics(ServerExchange* exchange);
   void CheckQuiet();
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -37,8 +37,8 @@
 
 RelayedRequest::RelayedRequest(Relay* relay,
                                std::shared_ptr<ServerExchange> exchange,
-                               CallerRequest request,
-                               const ServiceRoute& route, KeyHolder holder)
+                               CallerRequest request, const ServiceRoute& route,
+                               KeyHolder holder)
     : relay_(relay),
       exchange_(std::move(exchange)),
       request_(std::move(request)),
@@ -51,8 +51,8 @@
 
 void RelayedRequest::Start() {
   auto self = shared_from_this();
-  milliseconds hold = route_.timeout.count() > 0 ? route_.timeout
-                                                 : kLongestHold;
+  milliseconds hold =
+      route_.timeout.count() > 0 ? route_.timeout : kLongestHold;
   if (request_.patience) {
     hold = std::min(hold, *request_.patience - kReturnTime);
   }
@@ -107,8 +107,8 @@
     return relay_->pool_
         .Pick(service_, Affinity(), tried_, now,
               [&](const ListedEndpoint& endpoint) {
-                return wanted == Side::kAny ||
-                       (endpoint.version == target) == (wanted == Side::kTarget);
+                return wanted == Side::kAny || (endpoint.version == target) ==
+                                                   (wanted == Side::kTarget);
               })
         .address;
   };
@@ -184,9 +184,8 @@
   try_->weak = IsTooWeak();
   // Not from inside the reader of the answer that is dropped.
   if (try_->weak) {
-    boost::asio::post(*relay_->loop_, [self = shared_from_this()] {
-      self->AskLargerModel();
-    });
+    boost::asio::post(*relay_->loop_,
+                      [self = shared_from_this()] { self->AskLargerModel(); });
   }
   return true;
 }
@@ -200,7 +199,8 @@
   relay_->cascade_.Answered(route_.name, model_, confidence);
   size_t better = ModelCascade::Better(route_, model_);
   return better != model_ && relay_->cascade_.IsWeak(confidence) &&
-         log_.attempts_left() && TimeLeft(Clock::now()) > route_.objective / 4 &&
+         log_.attempts_left() &&
+         TimeLeft(Clock::now()) > route_.objective / 4 &&
          relay_->BudgetOf(service_)->Take();
 }
 
@@ -264,8 +264,7 @@
   bool own_failure = answer.status >= 500 || PromisesNotRun(answer.status);
   if (own_failure) {
     relay_->watch_.Answered(Watched(), true, Clock::now() - try_->sent_at);
-    failed_on_target_ =
-        try_->version == relay_->rollouts_.TargetOf(service_);
+    failed_on_target_ = try_->version == relay_->rollouts_.TargetOf(service_);
     failure_.reset();
     if (!PromisesNotRun(answer.status)) failure_ = {try_->head, try_->body};
     return EndTry(AttemptOutcome::kFailed);
@@ -307,10 +306,9 @@
                (log_.attempts_left() &&
                 (route_.repeatable() || (refused && !log_.may_have_run())));
   NextStep step = log_.After(outcome, could && MayResend(outcome));
-  relay_->metrics_.Add("leverwick_tries_ended_total",
-                       std::string("outcome=\"") +
-                           (refused ? "refused" : "failed") + "\"",
-                       1);
+  relay_->metrics_.Add(
+      "leverwick_tries_ended_total",
+      std::string("outcome=\"") + (refused ? "refused" : "failed") + "\"", 1);
   if (step == NextStep::kTryAgain) return Dispatch();
   if (stream_started_) {
     exchange_->BreakOff();
@@ -383,15 +381,14 @@
                                                        exchange_->received());
   relay_->metrics_.Add("leverwick_requests_total",
                        std::string("outcome=\"") + outcome + "\"", 1);
-  kLog.Debug("Request ended.",
-             {{"request", request_.id},
-              {"route", route_.name},
-              {"organisation", holder_.organisation},
-              {"config", std::to_string(config_->version())},
-              {"endpoint", try_ ? try_->endpoint : ""},
-              {"attempts", std::to_string(log_.attempts())},
-              {"outcome", outcome},
-              {"took_ms", std::to_string(took.count())}});
+  kLog.Debug("Request ended.", {{"request", request_.id},
+                                {"route", route_.name},
+                                {"organisation", holder_.organisation},
+                                {"config", std::to_string(config_->version())},
+                                {"endpoint", try_ ? try_->endpoint : ""},
+                                {"attempts", std::to_string(log_.attempts())},
+                                {"outcome", outcome},
+                                {"took_ms", std::to_string(took.count())}});
   relay_->open_.erase(self);
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -94,7 +94,7 @@
   int dispatches_ = 0;
   ServiceRollouts::Side side_ = ServiceRollouts::Side::kAny;
   bool failed_on_target_ = false;  // of a roll-out
-  size_t model_ = 0;  // index among the route's models
+  size_t model_ = 0;               // index among the route's models
   std::optional<Try> try_;
   // A stream that is passed on.
   EventSplitter events_;
--- a/daemon/version_watch.cc
+++ b/daemon/version_watch.cc
@@ -22,8 +22,7 @@
 constexpr double kMoreErrors = 0.3;
 constexpr double kPriorAnswers = 10;
 constexpr double kPriorErrors = 0.1;
-const GuardLimits kErrorsOnly{kMoreErrors, 1.0, 0, kPriorAnswers,
-                              kPriorErrors};
+const GuardLimits kErrorsOnly{kMoreErrors, 1.0, 0, kPriorAnswers, kPriorErrors};
 // A pace this many times the baseline's fastest tenth is slow.
 constexpr double kSlowPace = 2.5;
 constexpr double kFastest = 0.1;
@@ -59,8 +58,8 @@
   VersionView most;
   for (const std::string& version : directory_->VersionsOf(tried.service)) {
     if (version == tried.version) continue;
-    VersionView view = estimates_->View(VersionKeyOf(tried.service, version),
-                                        KindOf(tried));
+    VersionView view =
+        estimates_->View(VersionKeyOf(tried.service, version), KindOf(tried));
     if (view.answers >= most.answers) most = view;
   }
   return most;
@@ -103,8 +102,8 @@
   VersionView baseline = Baseline(tried);
   double mean = std::exp(baseline.log_latency_mean);
   // A caller that left early says nothing; only a long wait does.
-  bool slow = baseline.answers >= kLeastAnswers &&
-              time.count() > kSlowBegin * mean;
+  bool slow =
+      baseline.answers >= kLeastAnswers && time.count() > kSlowBegin * mean;
   if (!slow) return;
   Timed(tried, true);
   CheckTrip(tried);
@@ -119,10 +118,9 @@
 void VersionWatch::CheckTrip(const WatchedTry& tried) {
   std::string why;
   if (!guard_->Tripped(SubjectOf(tried), &why)) return;
-  kLog.Warning("A new version is bad by this box's answers.",
-               {{"service", tried.service},
-                {"version", tried.version},
-                {"why", why}});
+  kLog.Warning(
+      "A new version is bad by this box's answers.",
+      {{"service", tried.service}, {"version", tried.version}, {"why", why}});
   rollouts_->Trip(tried.service, why);
 }
 
--- a/daemon/version_watch.h
+++ b/daemon/version_watch.h
@@ -57,9 +57,9 @@
  private:
   // The fastest tenth of a model's paces, by "service/model".
   using Paces = boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<
-                  boost::accumulators::tag::count,
-                  boost::accumulators::tag::p_square_quantile>>;
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::p_square_quantile>>;
 
   bool IsWatchedTarget(const WatchedTry& tried) const;
   VersionView Baseline(const WatchedTry& tried) const;
--- a/leverwick/model_cascade.cc
+++ b/leverwick/model_cascade.cc
@@ -30,8 +30,8 @@
   size_t largest = route.models.empty() ? 0 : route.models.size() - 1;
   if (largest == 0) return 0;
   auto counts = counts_.find({route.name, 0});
-  bool known = counts != counts_.end() &&
-               counts->second.answers >= kLeastAnswers;
+  bool known =
+      counts != counts_.end() && counts->second.answers >= kLeastAnswers;
   if (!known || draw < kExplore) return 0;
   double small = CostOf(service, route.models.front());
   double large = CostOf(service, route.models[largest]);
--- a/leverwick/retry_budget.h
+++ b/leverwick/retry_budget.h
@@ -21,8 +21,7 @@
  public:
   // `share` retries are allowed per request; a quiet box begins with `start`
   // and saves up to `most`.
-  explicit RetryBudget(double share, double start = kStart,
-                       double most = kMost)
+  explicit RetryBudget(double share, double start = kStart, double most = kMost)
       : share_(share), most_(most), level_(start) {}
 
   void Count() {
--- a/leverwick/service_config.h
+++ b/leverwick/service_config.h
@@ -40,13 +40,13 @@
   std::string host;
   std::string path_prefix;  // begins and ends with a slash
   RouteKind kind = RouteKind::kUnsafe;
-  bool resumable = false;    // streams only
-  bool needs_key = true;     // false: anyone may call it
-  milliseconds timeout{0};   // longest that a request is held; 0: no limit
-  milliseconds objective{0};  // answers within it earn their full worth
+  bool resumable = false;         // streams only
+  bool needs_key = true;          // false: anyone may call it
+  milliseconds timeout{0};        // longest that a request is held; 0: no limit
+  milliseconds objective{0};      // answers within it earn their full worth
   milliseconds longest_pause{0};  // between events of a stream that is in time
-  int max_attempts = 1;  // endpoints that one request may be sent to
-  int priority = 5;      // 0 is the most urgent
+  int max_attempts = 1;           // endpoints that one request may be sent to
+  int priority = 5;               // 0 is the most urgent
   // Models that may answer, smallest first; empty: the caller names one.
   std::vector<std::string> models;
   std::vector<ServiceShare> services;
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -53,8 +53,7 @@
   return found == rollouts_.end() ? TimePoint() : found->second.step_at;
 }
 
-void ServiceRollouts::Trip(const std::string& service,
-                           const std::string& why) {
+void ServiceRollouts::Trip(const std::string& service, const std::string& why) {
   auto found = rollouts_.find(service);
   if (found == rollouts_.end() || IsLast(found->second.step)) return;
   found->second.tripped = true;
@@ -78,8 +77,8 @@
   if (!MayUseTarget(service)) return Side::kBaseline;
   if (rollout.step >= RolloutStep::kAll) return Side::kTarget;
   uint64_t hash = StableHash(session);
-  bool pinned = rollout.step == RolloutStep::kCanary &&
-                rollout.pinned.count(hash) > 0;
+  bool pinned =
+      rollout.step == RolloutStep::kCanary && rollout.pinned.count(hash) > 0;
   bool on_target = !pinned && IsInShare(service, rollout, hash);
   return on_target ? Side::kTarget : Side::kBaseline;
 }
@@ -166,9 +165,9 @@
   auto step = static_cast<size_t>(rollout.step);
   *next = kNext[step];
   double in_step = ToSeconds(now - rollout.step_at);
-  bool all_too_short = rollout.step == RolloutStep::kAll &&
-                       in_step < options_.all_lasts *
-                                     ToSeconds(rollout.duration);
+  bool all_too_short =
+      rollout.step == RolloutStep::kAll &&
+      in_step < options_.all_lasts * ToSeconds(rollout.duration);
   if (all_too_short) return false;
   double elapsed = ToSeconds(now - rollout.ordered_at);
   return elapsed >= from[step] * ToSeconds(rollout.duration);
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -71,8 +71,7 @@
  public:
   enum class Side { kAny, kBaseline, kTarget };
 
-  explicit ServiceRollouts(const RolloutOptions& options)
-      : options_(options) {}
+  explicit ServiceRollouts(const RolloutOptions& options) : options_(options) {}
 
   // Ordering the same target again changes nothing.
   void Ordered(const std::string& service, const std::string& target_version,
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -57,9 +57,8 @@
     Rest();
     // Not from inside the handler: a caller's held requests are taken one
     // turn of the loop after another.
-    boost::asio::post(*server_->loop_, [self = shared_from_this()] {
-      self->TakeHeld();
-    });
+    boost::asio::post(*server_->loop_,
+                      [self = shared_from_this()] { self->TakeHeld(); });
   }
 
   void BreakOff() {
@@ -249,8 +248,7 @@
   return connection == nullptr ? 0 : connection->pending_bytes();
 }
 
-AsyncHttpServer::AsyncHttpServer(boost::asio::io_context* loop,
-                                 Handler handler)
+AsyncHttpServer::AsyncHttpServer(boost::asio::io_context* loop, Handler handler)
     : loop_(loop),
       handler_(std::move(handler)),
       acceptor_(*loop),
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -4,11 +4,10 @@
 
 #include "net/http_codec.h"
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
-
-#include <algorithm>
 #include <cstdio>
 
 namespace leverwick {
@@ -21,9 +20,8 @@
 
 // Fields of one connection only (RFC 9110, 7.6.1).
 constexpr std::string_view kHopFields[] = {
-    "connection", "keep-alive",        "proxy-connection",
-    "te",         "transfer-encoding", "upgrade",
-    "trailer",    "content-length"};
+    "connection",        "keep-alive", "proxy-connection", "te",
+    "transfer-encoding", "upgrade",    "trailer",          "content-length"};
 
 std::vector<std::string> Tokens(const std::string& list) {
   std::vector<std::string> tokens;
@@ -188,8 +186,7 @@
     observer_->OnBody({body.data(), body.size()});
     return body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, View, beast::error_code&) override {
-  }
+  void on_chunk_header_impl(std::uint64_t, View, beast::error_code&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t, View body,
                                  beast::error_code&) override {
     observer_->OnBody({body.data(), body.size()});
@@ -245,9 +242,12 @@
       if (held_.size() > limits_.head_bytes) error_ = kHeadTooLarge;
       break;
     }
-    if (error == http::error::header_limit) error_ = kHeadTooLarge;
-    else if (error == http::error::body_limit) error_ = kBodyTooLarge;
-    else if (error) error_ = kMalformed;
+    if (error == http::error::header_limit)
+      error_ = kHeadTooLarge;
+    else if (error == http::error::body_limit)
+      error_ = kBodyTooLarge;
+    else if (error)
+      error_ = kMalformed;
     if (error_ != kNone || size == 0) break;
   }
   *used = taken - before;
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -77,13 +77,12 @@
 void TcpConnection::AwaitBytes() {
   if (awaiting_bytes_ || paused_ || !socket_.is_open()) return;
   awaiting_bytes_ = true;
-  socket_.async_wait(Wait::wait_read,
-                     [self = shared_from_this()](auto error) {
-                       self->awaiting_bytes_ = false;
-                       if (!self->socket_.is_open()) return;
-                       if (error) return self->Fail(error);
-                       self->ReadBytes();
-                     });
+  socket_.async_wait(Wait::wait_read, [self = shared_from_this()](auto error) {
+    self->awaiting_bytes_ = false;
+    if (!self->socket_.is_open()) return;
+    if (error) return self->Fail(error);
+    self->ReadBytes();
+  });
 }
 
 void TcpConnection::ReadBytes() {
@@ -116,10 +115,10 @@
   while (!queue_.empty()) {
     const std::string& front = queue_.front();
     boost::system::error_code error;
-    size_t size = socket_.write_some(
-        boost::asio::buffer(front.data() + front_offset_,
-                            front.size() - front_offset_),
-        error);
+    size_t size =
+        socket_.write_some(boost::asio::buffer(front.data() + front_offset_,
+                                               front.size() - front_offset_),
+                           error);
     if (error == boost::asio::error::would_block) return OnWritable();
     if (error) return Fail(error);
     any_sent_ = true;
@@ -146,17 +145,16 @@
 
 void TcpConnection::OnWritable() {
   awaiting_writable_ = true;
-  socket_.async_wait(Wait::wait_write,
-                     [self = shared_from_this()](auto error) {
-                       self->awaiting_writable_ = false;
-                       if (!self->socket_.is_open()) return;
-                       if (error) return self->Fail(error);
-                       self->WriteSome();
-                       bool drained = self->queue_.empty();
-                       if (drained && self->observer_ != nullptr) {
-                         self->observer_->OnDrained();
-                       }
-                     });
+  socket_.async_wait(Wait::wait_write, [self = shared_from_this()](auto error) {
+    self->awaiting_writable_ = false;
+    if (!self->socket_.is_open()) return;
+    if (error) return self->Fail(error);
+    self->WriteSome();
+    bool drained = self->queue_.empty();
+    if (drained && self->observer_ != nullptr) {
+      self->observer_->OnDrained();
+    }
+  });
 }
 
 // The observer hears of a failure from the loop, never from inside Write.
@@ -166,12 +164,11 @@
   socket_.close(ignored);
   queue_.clear();
   pending_bytes_ = 0;
-  boost::asio::post(socket_.get_executor(),
-                    [self = shared_from_this(), why] {
-                      Observer* observer = self->observer_;
-                      self->observer_ = nullptr;
-                      if (observer != nullptr) observer->OnClosed(why);
-                    });
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this(), why] {
+    Observer* observer = self->observer_;
+    self->observer_ = nullptr;
+    if (observer != nullptr) observer->OnClosed(why);
+  });
 }
 
 void TcpConnection::CloseWhenDrained() {
