--- a/app/leverwickd.cc
+++ b/app/leverwickd.cc
@@ -23,6 +23,8 @@
 
 namespace {
 
+const leverwick::Log kLog("process");
+
 constexpr int kCantStart = 1;
 constexpr int kInvalidSettings = 2;
 constexpr int kCutRequests = 3;
@@ -83,7 +85,6 @@
     if (report.problems.empty()) front_.Reload(settings);
   }
 
-  const leverwick::Log kLog{"process"};
   const std::string file_;
   boost::asio::io_context loop_{1};
   leverwick::platform::Front front_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -24,7 +24,7 @@
 // bounds how many a request looks for.
 constexpr int kMostDispatches = 6;
 // A caller that reads slower than its endpoint writes stops the reading.
-constexpr size_t kMostPending = 256 * 1024;
+constexpr size_t kMostPending = 256UL * 1024;
 // When to come back if every endpoint was full or none could be reached: the
 // pool drains some requests in this time.
 constexpr milliseconds kComeBackAfter{250};
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -22,6 +22,20 @@
 
 namespace leverwick {
 
+// One send to one endpoint.
+struct EndpointTry {
+  std::string endpoint;
+  std::string version;
+  std::shared_ptr<ClientCall> call;
+  TimePoint sent_at{};
+  bool has_head = false;
+  AnswerHead answer;
+  HttpHead head;
+  std::string body;
+  bool streams = false;  // a success whose events are passed on
+  bool weak = false;     // is to be dropped for a larger model's answer
+};
+
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>,
                        private ClientCall::Observer {
  public:
@@ -32,20 +46,6 @@
   void Start();
 
  private:
-  // One send to one endpoint.
-  struct Try {
-    std::string endpoint;
-    std::string version;
-    std::shared_ptr<ClientCall> call;
-    TimePoint sent_at{};
-    bool has_head = false;
-    AnswerHead answer;
-    HttpHead head;
-    std::string body;
-    bool streams = false;  // a success whose events are passed on
-    bool weak = false;     // is to be dropped for a larger model's answer
-  };
-
   // Sending.
   void Dispatch();
   std::string ChooseEndpoint();
@@ -95,7 +95,7 @@
   ServiceRollouts::Side side_ = ServiceRollouts::Side::kAny;
   bool failed_on_target_ = false;  // of a roll-out
   size_t model_ = 0;               // index among the route's models
-  std::optional<Try> try_;
+  std::optional<EndpointTry> try_;
   // A stream that is passed on.
   EventSplitter events_;
   bool stream_started_ = false;
--- a/leverwick/service_config.h
+++ b/leverwick/service_config.h
@@ -80,7 +80,7 @@
 };
 
 struct CallerLimits {
-  size_t head_bytes = 16 * 1024;
+  size_t head_bytes = 16UL * 1024;
   uint64_t body_bytes = 4u << 20;
   milliseconds head_time{3000};
   milliseconds idle_time{15000};
--- /dev/null
+++ b/leverwick/testing/service_rollouts_test.cc
@@ -0,0 +1,167 @@
+#include "leverwick/service_rollouts.h"
+
+#include <doctest/doctest.h>
+
+#include "leverwick/guard.h"
+
+namespace leverwick {
+namespace {
+
+using Side = ServiceRollouts::Side;
+using std::chrono::seconds;
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+RolloutRecord At(RolloutStep step) { return {"chat", "v2", step}; }
+
+std::string SessionName(int i) { return "session-" + std::to_string(i); }
+
+TEST_CASE("boxes agree on the side of every session without talking") {
+  ServiceRollouts a({});
+  ServiceRollouts b({});
+  a.Ordered("chat", "v2", seconds(20), kStart);
+  b.Ordered("chat", "v2", seconds(20), kStart + seconds(1));
+  int on_target = 0;
+  for (int i = 0; i < 10000; ++i) {
+    Side side = a.SideFor("chat", SessionName(i));
+    CHECK(side == b.SideFor("chat", SessionName(i)));
+    on_target += side == Side::kTarget;
+  }
+  CHECK(on_target > 500);
+  CHECK(on_target < 900);
+}
+
+TEST_CASE("a session that another box has just served stays where it is") {
+  ServiceRollouts served({});
+  ServiceRollouts other({});
+  for (int i = 0; i < 1000; ++i) {
+    served.Served("chat", SessionName(i), kStart);
+  }
+  TimePoint ordered = kStart + seconds(2);
+  served.Ordered("chat", "v2", seconds(20), ordered);
+  other.Ordered("chat", "v2", seconds(20), ordered);
+  auto recent = served.RecentSessions("chat", ordered);
+  CHECK(recent.size() > 30);
+  CHECK(recent.size() < 120);
+  served.Pin("chat", "v2", recent);
+  other.Pin("chat", "v2", recent);
+  for (int i = 0; i < 1000; ++i) {
+    CHECK(served.SideFor("chat", SessionName(i)) == Side::kBaseline);
+    CHECK(other.SideFor("chat", SessionName(i)) == Side::kBaseline);
+  }
+  // In the second half it may move.
+  other.Learned(At(RolloutStep::kWider), ordered + seconds(11));
+  int moved = 0;
+  for (int i = 0; i < 1000; ++i) {
+    moved += other.SideFor("chat", SessionName(i)) == Side::kTarget;
+  }
+  CHECK(moved == static_cast<int>(recent.size()));
+}
+
+TEST_CASE("a session that has paused for long is not told of") {
+  ServiceRollouts rollouts({});
+  for (int i = 0; i < 1000; ++i) {
+    rollouts.Served("chat", SessionName(i), kStart);
+  }
+  rollouts.Ordered("chat", "v2", seconds(20), kStart + seconds(6));
+  CHECK(rollouts.RecentSessions("chat", kStart + seconds(6)).empty());
+}
+
+TEST_CASE("steps are proposed one after the other, in the order's time") {
+  ServiceRollouts rollouts({});
+  rollouts.Ordered("chat", "v2", seconds(100), kStart);
+  auto next = [&](double at) {
+    auto proposals = rollouts.Proposals(kStart + FromSeconds(at));
+    return proposals.empty() ? -1 : static_cast<int>(proposals[0].step);
+  };
+  auto learn = [&](RolloutStep step, double at) {
+    rollouts.Learned(At(step), kStart + FromSeconds(at));
+  };
+  CHECK(next(0) == static_cast<int>(RolloutStep::kCanary));
+  learn(RolloutStep::kCanary, 0);
+  CHECK(next(50) == -1);
+  CHECK(next(54) == static_cast<int>(RolloutStep::kWider));
+  learn(RolloutStep::kWider, 54);
+  CHECK(next(91) == -1);
+  CHECK(next(92) == static_cast<int>(RolloutStep::kAll));
+  learn(RolloutStep::kAll, 92);
+  CHECK(next(95) == -1);
+  CHECK(next(97) == static_cast<int>(RolloutStep::kCompleted));
+  learn(RolloutStep::kCompleted, 97);
+  CHECK(next(200) == -1);
+  CHECK_FALSE(rollouts.AnyActive());
+  CHECK(rollouts.SideFor("chat", "s") == Side::kTarget);
+}
+
+TEST_CASE("late steps don't come at once") {
+  // The store was away past the times of two steps.
+  ServiceRollouts rollouts({});
+  rollouts.Ordered("chat", "v2", seconds(100), kStart);
+  rollouts.Learned(At(RolloutStep::kWider), kStart + seconds(60));
+  TimePoint back = kStart + seconds(120);
+  rollouts.Learned(At(RolloutStep::kAll), back);
+  CHECK(rollouts.Proposals(back + seconds(4)).empty());
+  CHECK_FALSE(rollouts.Proposals(back + seconds(5)).empty());
+}
+
+TEST_CASE("a step never goes back, and a trip is never undone") {
+  ServiceRollouts rollouts({});
+  rollouts.Ordered("chat", "v2", seconds(100), kStart);
+  rollouts.Learned(At(RolloutStep::kAll), kStart);
+  rollouts.Learned(At(RolloutStep::kCanary), kStart);
+  CHECK(rollouts.SideFor("chat", "s") == Side::kTarget);
+  rollouts.Trip("chat", "more errors");
+  CHECK(rollouts.SideFor("chat", "s") == Side::kBaseline);
+  CHECK_FALSE(rollouts.MayUseTarget("chat"));
+  REQUIRE(rollouts.Proposals(kStart).size() == 1);
+  CHECK(rollouts.Proposals(kStart)[0].step == RolloutStep::kRolledBack);
+  rollouts.Learned(At(RolloutStep::kCompleted), kStart);
+  CHECK_FALSE(rollouts.MayUseTarget("chat"));
+  // Only another order starts anew.
+  rollouts.Ordered("chat", "v3", seconds(100), kStart);
+  CHECK(rollouts.MayUseTarget("chat"));
+}
+
+TEST_CASE("with few answers to compare with, a bad version still trips") {
+  GuardLimits limits{0.3, 1.0, 0, 10, 0.1};
+  VersionView few;
+  few.answers = 5;
+  Guard guard("box", 9);
+  int answers = 0;
+  while (!guard.Tripped("s", nullptr) && answers < 100) {
+    Observation observation;
+    observation.error = answers++ % 2 == 0;
+    guard.Answered("s", limits, few, observation);
+  }
+  CHECK(answers < 40);
+}
+
+TEST_CASE("one failure in seven, as before, does not trip") {
+  GuardLimits limits{0.3, 1.0, 0, 10, 0.1};
+  VersionView before;
+  before.answers = 200;
+  before.errors = 28;
+  Guard guard("box", 9);
+  for (int i = 0; i < 2000; ++i) {
+    Observation observation;
+    observation.error = i % 7 == 0;
+    guard.Answered("s", limits, before, observation);
+  }
+  CHECK_FALSE(guard.Tripped("s", nullptr));
+  CHECK(guard.Suspicion("s") < 0.5);
+}
+
+TEST_CASE("slow answers add up over boxes") {
+  Guard a("a", 9);
+  Guard b("b", 9);
+  for (int i = 0; i < 2; ++i) a.Timed("s", true);
+  for (int i = 0; i < 2; ++i) b.Timed("s", true);
+  CHECK_FALSE(b.Tripped("s", nullptr));
+  CHECK(b.Suspicion("s") > 0.5);
+  b.Merge(a.own().at(0));
+  CHECK(b.Tripped("s", nullptr));
+  CHECK(b.Suspicion("s") == 1);
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -72,7 +72,7 @@
   // Longest rest of a kept connection when the server names no time.
   milliseconds idle_time{10000};
   size_t max_idle_each = 64;  // kept connections to one address
-  HttpReader::Limits answer_limits{64 * 1024, 256u << 20};
+  HttpReader::Limits answer_limits{64UL * 1024, 256UL << 20};
 };
 
 class HttpConnections {
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -12,7 +12,7 @@
 using boost::asio::ip::tcp;
 
 // Bytes of the next requests that a caller may send ahead of its answers.
-constexpr size_t kHeldBytes = 64 * 1024;
+constexpr size_t kHeldBytes = 64UL * 1024;
 // How long accepting rests when descriptors have run out.
 constexpr milliseconds kAcceptPause{50};
 constexpr int kBacklog = 1024;
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -29,7 +29,7 @@
 namespace leverwick {
 
 struct HttpServerLimits {
-  size_t head_bytes = 64 * 1024;
+  size_t head_bytes = 64UL * 1024;
   uint64_t body_bytes = 4u << 20;
   milliseconds head_time{3000};   // from the first byte to the whole request
   milliseconds idle_time{15000};  // between requests
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -61,7 +61,7 @@
   enum Error { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge, kCutShort };
 
   struct Limits {
-    size_t head_bytes = 64 * 1024;
+    size_t head_bytes = 64UL * 1024;
     uint64_t body_bytes = 64u << 20;
   };
 
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -7,9 +7,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <vector>
 
 namespace leverwick {
 namespace {
@@ -17,7 +17,7 @@
 using boost::asio::ip::tcp;
 using Wait = tcp::socket::wait_type;
 
-constexpr size_t kReadBuffer = 64 * 1024;
+constexpr size_t kReadBuffer = 64UL * 1024;
 // A peer that acknowledges nothing for this long is gone. Boxes judge each
 // other's silence within 3 s (docs/PLATFORM-MOVE.md), so it lies below that
 // and above two retransmissions of a lost packet.
@@ -29,8 +29,10 @@
 // A round trip between far data centres, several times over.
 constexpr milliseconds kLinger{500};
 
-std::array<char, kReadBuffer>& ReadBuffer() {
-  thread_local std::array<char, kReadBuffer> buffer;
+// On the heap: thread-local arrays are taken from every thread's stack, also
+// of those that never read here, and CivetWeb's workers have small ones.
+std::vector<char>& ReadBuffer() {
+  thread_local std::vector<char> buffer(kReadBuffer);
   return buffer;
 }
 
