--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -15,9 +15,6 @@
 
 // Two missed questions, a second apart, and the way of a last connection.
 constexpr milliseconds kNewConnectionsEnd{2600};
-// Requests that come later are refused: a stream that begins after this may
-// not end before the bound.
-constexpr milliseconds kIntakeEnd{2800};
 // What is left of the stop's bound for ending the process itself.
 constexpr milliseconds kEndMargin{350};
 // How often a stopping box looks whether it is quiet.
@@ -94,7 +91,7 @@
 
 void RelayServer::CheckQuiet() {
   auto took = Clock::now() - stop_began_;
-  if (took > kIntakeEnd) relay_->StopIntake();
+  if (took > options_.intake) relay_->StopIntake();
   bool quiet = took > kNewConnectionsEnd && callers_.open_requests() == 0 &&
                callers_.connections() == 0;
   if (quiet || took > options_.stop_bound - kEndMargin) {
--- a/daemon/relay_server.h
+++ b/daemon/relay_server.h
@@ -30,6 +30,9 @@
   std::string ready;    // ip:port, or empty
   std::string metrics;  // ip:port, or empty
   milliseconds stop_bound{8000};
+  // Of a stop: requests that come later are refused, since a stream that
+  // begins after this may not end before the bound.
+  milliseconds intake{2800};
 };
 
 class RelayServer {
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -96,20 +96,27 @@
 }
 
 std::string RelayedRequest::ChooseEndpoint() {
-  TimePoint now = Clock::now();
-  std::string target = relay_->rollouts_.TargetOf(service_);
   using Side = ServiceRollouts::Side;
   // What a new version failed to answer, the version before it may.
   if (failed_on_target_) side_ = Side::kBaseline;
   // A target that was found bad meanwhile gets nothing more.
   if (!relay_->rollouts_.MayUseTarget(service_)) side_ = Side::kBaseline;
+  std::string endpoint = PickFrom(tried_);
+  // With few endpoints, one that was tried before may be tried again.
+  if (endpoint.empty() && tried_.size() > 1) endpoint = PickFrom({last_tried_});
+  return endpoint;
+}
+
+std::string RelayedRequest::PickFrom(const std::set<std::string>& excluded) {
+  using Side = ServiceRollouts::Side;
+  std::string target = relay_->rollouts_.TargetOf(service_);
+  TimePoint now = Clock::now();
   auto pick = [&](Side wanted) {
-    return relay_->pool_
-        .Pick(service_, Affinity(), tried_, now,
-              [&](const ListedEndpoint& endpoint) {
-                return wanted == Side::kAny || (endpoint.version == target) ==
-                                                   (wanted == Side::kTarget);
-              })
+    auto allowed = [&](const ListedEndpoint& endpoint) {
+      return wanted == Side::kAny ||
+             (endpoint.version == target) == (wanted == Side::kTarget);
+    };
+    return relay_->pool_.Pick(service_, Affinity(), excluded, now, allowed)
         .address;
   };
   std::string endpoint = pick(side_);
@@ -137,6 +144,7 @@
 
 void RelayedRequest::SendTo(const DirectoryEntry& endpoint) {
   tried_.insert(endpoint.id);
+  last_tried_ = endpoint.id;
   log_.Sent();
   relay_->pool_.Started(endpoint.id);
   try_.emplace();
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -49,6 +49,7 @@
   // Sending.
   void Dispatch();
   std::string ChooseEndpoint();
+  std::string PickFrom(const std::set<std::string>& excluded);
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
   uint64_t Affinity() const;
@@ -91,6 +92,7 @@
   TimePoint deadline_{};
   AttemptLog log_;
   std::set<std::string> tried_;
+  std::string last_tried_;
   int dispatches_ = 0;
   ServiceRollouts::Side side_ = ServiceRollouts::Side::kAny;
   bool failed_on_target_ = false;  // of a roll-out
--- a/leverwick/service_config.cc
+++ b/leverwick/service_config.cc
@@ -33,7 +33,7 @@
 }
 
 ServiceConfig::Builder& ServiceConfig::Builder::Add(ServiceRoute route) {
-  config_.by_prefix_[PrefixKey(route.host, route.path_prefix)] =
+  config_.by_prefix_[PrefixKey(route.host, route.prefix)] =
       config_.routes_.size();
   config_.routes_.push_back(std::move(route));
   return *this;
--- a/leverwick/service_config.h
+++ b/leverwick/service_config.h
@@ -38,7 +38,7 @@
 struct ServiceRoute {
   std::string name;
   std::string host;
-  std::string path_prefix;  // begins and ends with a slash
+  std::string prefix;  // begins and ends with a slash
   RouteKind kind = RouteKind::kUnsafe;
   bool resumable = false;         // streams only
   bool needs_key = true;          // false: anyone may call it
--- a/leverwick/testing/relay_decisions_test.cc
+++ b/leverwick/testing/relay_decisions_test.cc
@@ -18,7 +18,7 @@
   ServiceRoute route;
   route.name = host + prefix;
   route.host = host;
-  route.path_prefix = prefix;
+  route.prefix = prefix;
   route.services = {{"service", 1}};
   return route;
 }
@@ -29,9 +29,9 @@
                                     const std::string& path) {
   const ServiceRoute* best = nullptr;
   for (const ServiceRoute& route : config.routes()) {
-    if (route.host != host || path.rfind(route.path_prefix, 0) != 0) continue;
+    if (route.host != host || path.rfind(route.prefix, 0) != 0) continue;
     bool longer =
-        best == nullptr || route.path_prefix.size() > best->path_prefix.size();
+        best == nullptr || route.prefix.size() > best->prefix.size();
     if (longer) best = &route;
   }
   return best;
@@ -57,7 +57,7 @@
       const ServiceRoute* found = config.FindRoute(host, asked);
       const ServiceRoute* expected = FindRouteSlowly(config, host, asked);
       REQUIRE((found == nullptr) == (expected == nullptr));
-      if (found != nullptr) CHECK(found->path_prefix == expected->path_prefix);
+      if (found != nullptr) CHECK(found->prefix == expected->prefix);
     }
   }
 }
--- a/net/testing/async_http_test.cc
+++ b/net/testing/async_http_test.cc
@@ -3,6 +3,7 @@
 #include "net/async_http_client.h"
 #include "net/async_http_server.h"
 #include "net/testing/collected_answer.h"
+#include "net/testing/free_port.h"
 #include "net/testing/raw_peer.h"
 #include "net/testing/test_loop.h"
 
@@ -26,8 +27,8 @@
 
 TEST_CASE("a connection is kept for the next request") {
   io_context loop;
-  RawServer server(&loop,
-                   AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  RawServer server(
+      &loop, AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
   HttpConnections connections(&loop, {});
   for (int i = 0; i < 3; ++i) {
     CollectedAnswer answer;
@@ -72,8 +73,8 @@
 
 TEST_CASE("a connection that gets bytes while idle is not used again") {
   io_context loop;
-  RawServer server(&loop,
-                   AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  RawServer server(
+      &loop, AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
   HttpConnections connections(&loop, {});
   CollectedAnswer first;
   connections.Send(server.address(), kRequest, &first);
@@ -122,16 +123,16 @@
 TEST_CASE("an answer cut short is not whole, one without a length is") {
   io_context loop;
   RawServer cut(
-      &loop, AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", true));
+      &loop,
+      AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", true));
   RawServer unframed(&loop, AnswerWith("HTTP/1.1 200 OK\r\n\r\nab", true));
   HttpConnections connections(&loop, {});
   CollectedAnswer short_answer;
   CollectedAnswer whole_answer;
   connections.Send(cut.address(), kRequest, &short_answer);
   connections.Send(unframed.address(), kRequest, &whole_answer);
-  REQUIRE(RunUntil(&loop, [&] {
-    return short_answer.ended() && whole_answer.ended();
-  }));
+  REQUIRE(RunUntil(
+      &loop, [&] { return short_answer.ended() && whole_answer.ended(); }));
   CHECK(short_answer.failed);
   CHECK(whole_answer.whole);
   CHECK(whole_answer.body == "ab");
@@ -142,11 +143,7 @@
                       HttpServerLimits limits = {})
       : server(loop, std::move(handler)) {
     server.SetLimits(limits);
-    // A free port is found by asking for one and using it a moment later.
-    boost::asio::ip::tcp::acceptor probe(
-        *loop, {boost::asio::ip::address_v4::loopback(), 0});
-    endpoint = probe.local_endpoint();
-    probe.close();
+    endpoint = FreePort(loop);
     REQUIRE_FALSE(server.Listen(endpoint));
   }
   std::string address() const {
@@ -184,9 +181,8 @@
       "POST /two HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab"
       "GET /three HTTP/1.1\r\nHost: x\r\n\r\n");
   auto& got = caller.peer->received;
-  REQUIRE(RunUntil(&loop, [&] {
-    return got.find("/three") != std::string::npos;
-  }));
+  REQUIRE(
+      RunUntil(&loop, [&] { return got.find("/three") != std::string::npos; }));
   CHECK(got.find("/one") < got.find("/twoab"));
   CHECK(got.find("/twoab") < got.find("/three"));
 }
@@ -247,9 +243,8 @@
   REQUIRE(RunUntil(&loop, [&] { return server.server.connections() == 2; }));
   server.server.Drain();
   busy.tcp->Write("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
-  REQUIRE(RunUntil(&loop, [&] {
-    return busy.peer->closed && idle.peer->closed;
-  }));
+  REQUIRE(
+      RunUntil(&loop, [&] { return busy.peer->closed && idle.peer->closed; }));
   CHECK(busy.peer->received.find("/late") != std::string::npos);
   CHECK(busy.peer->received.find("Connection: close") != std::string::npos);
   CHECK(server.server.connections() == 0);
--- a/net/testing/http_codec_test.cc
+++ b/net/testing/http_codec_test.cc
@@ -84,8 +84,8 @@
       "GET / HTTP/1.1\r\nA: " + std::string(400, 'a') + "\r\n\r\n", &used));
   CHECK(heads.error() == HttpReader::kHeadTooLarge);
   HttpReader bodies(HttpReader::kRequests, limits, &collected);
-  CHECK_FALSE(bodies.Feed("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789",
-                          &used));
+  CHECK_FALSE(bodies.Feed(
+      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789", &used));
   CHECK(bodies.error() == HttpReader::kBodyTooLarge);
 }
 
--- a/net/testing/raw_peer.h
+++ b/net/testing/raw_peer.h
@@ -41,8 +41,7 @@
 class RawServer {
  public:
   RawServer(boost::asio::io_context* loop, RawConnection::Receiver receiver)
-      : acceptor_(*loop,
-                  {boost::asio::ip::address_v4::loopback(), 0}),
+      : acceptor_(*loop, {boost::asio::ip::address_v4::loopback(), 0}),
         receiver_(std::move(receiver)) {
     Accept();
   }
--- a/net/testing/test_loop.h
+++ b/net/testing/test_loop.h
@@ -16,11 +16,12 @@
     std::chrono::milliseconds limit = std::chrono::milliseconds(8000)) {
   auto end = std::chrono::steady_clock::now() + limit;
   loop->restart();
-  while (!happened() && std::chrono::steady_clock::now() < end) {
+  bool done = false;
+  while (!(done = happened()) && std::chrono::steady_clock::now() < end) {
     loop->run_one_for(std::chrono::milliseconds(20));
     if (loop->stopped()) loop->restart();
   }
-  return happened();
+  return done;
 }
 
 }  // namespace leverwick
