Endpoints chosen by the wait expected until an answer begins

Change: least expected wait from own unread tokens, own waiting requests and the delay of the last answers; reading again counts threefold, delays from 0.1 s.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -10,20 +10,14 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
+#include "leverwick/prompt.h"
 #include "leverwick/result.h"
 #include "leverwick/time.h"
 #include "net/http_codec.h"
 
 namespace leverwick {
 
-// A part of a prompt, in order; equal ids hold equal text.
-struct PromptPart {
-  std::string id;
-  int64_t tokens = 0;
-};
-
 struct CallerRequest {
   std::string id;                        // of this try; passed on as it came
   std::string host;                      // in lower case, without the port
@@ -34,7 +28,7 @@
   std::string session;                   // empty: none
   std::string model;                     // empty: not a request to a model
   bool any_model = false;                // the caller leaves the choice to us
-  std::vector<PromptPart> prompt;
+  Prompt prompt;
   int64_t prompt_tokens = 0;
   int64_t max_answer_tokens = 0;
 };
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -133,6 +133,11 @@
   return metrics_.Text();
 }
 
+void Relay::Expire(TimePoint now) {
+  directory_.Expire(now);
+  loads_.Expire(now);
+}
+
 RetryBudget* Relay::BudgetOf(const std::string& service) {
   auto& budget = budgets_[service];
   if (budget == nullptr) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -23,6 +23,7 @@
 #include "daemon/endpoint_directory.h"
 #include "daemon/version_watch.h"
 #include "leverwick/endpoints.h"
+#include "leverwick/engine_loads.h"
 #include "leverwick/estimates.h"
 #include "leverwick/guard.h"
 #include "leverwick/model_cascade.h"
@@ -63,6 +64,9 @@
   bool SetConfig(ServiceConfig config);
   const std::shared_ptr<const ServiceConfig>& config() const { return config_; }
 
+  // Forgets what is too old to matter; called a few times a second.
+  void Expire(TimePoint now);
+
   // What the adapter feeds.
   ReadProof* proof() { return &proof_; }
   EndpointDirectory* directory() { return &directory_; }
@@ -106,6 +110,7 @@
   Guard guard_;
   VersionWatch watch_;
   ModelCascade cascade_;
+  EngineLoads loads_;
   HttpConnections connections_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -31,6 +31,9 @@
 // pool drains some requests in this time.
 constexpr milliseconds kComeBackAfter{250};
 constexpr char kAnswered[] = "answered";
+// What sending to another data centre costs: its way there and back, and the
+// bytes between data centres.
+constexpr Seconds kFarCost{0.005};
 // An answer that promises the request was not run, by its status alone.
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -89,6 +92,18 @@
   relay_->rollouts_.Served(service_, request_.session, Clock::now());
 }
 
+EngineWork RelayedRequest::Work() const {
+  EngineWork work;
+  if (request_.any_model && !route_.models.empty()) {
+    work.model = route_.models[model_];
+  } else {
+    work.model = request_.model;
+  }
+  work.kind = route_.name + "/" + work.model;
+  if (!request_.prompt.empty()) work.prompt = &request_.prompt;
+  return work;
+}
+
 uint64_t RelayedRequest::Affinity() const {
   // The last part of a prompt is the request's own; the one before it is
   // shared, and an endpoint that read it holds all parts before it as well.
@@ -114,12 +129,20 @@
   using Side = ServiceRollouts::Side;
   std::string target = relay_->rollouts_.TargetOf(service_);
   TimePoint now = Clock::now();
+  EngineWork work = Work();
   auto pick = [&](Side wanted) {
     auto allowed = [&](const ListedEndpoint& endpoint) {
       return wanted == Side::kAny ||
              (endpoint.version == target) == (wanted == Side::kTarget);
     };
-    return relay_->pool_.Pick(service_, Affinity(), excluded, now, allowed)
+    auto cost = [&](const ListedEndpoint& endpoint, bool preferred) {
+      Seconds wait =
+          relay_->loads_.ExpectedWait(endpoint.address, work, preferred, now);
+      bool far = endpoint.data_centre != relay_->options_.data_centre;
+      return (wait + (far ? kFarCost : Seconds(0))).count();
+    };
+    return relay_->pool_
+        .PickCheapest(service_, Affinity(), excluded, now, allowed, cost)
         .address;
   };
   std::string endpoint = pick(side_);
@@ -154,6 +177,7 @@
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
   try_->sent_at = Clock::now();
+  try_->ticket = relay_->loads_.Sent(endpoint.id, Work(), try_->sent_at);
   TellSend(endpoint);
   try_->call =
       relay_->connections_.Send(endpoint.address, RequestFor(endpoint), this);
@@ -186,6 +210,7 @@
     return false;
   }
   try_->has_head = true;
+  if (answer.succeeded()) relay_->loads_.Began(try_->ticket, Clock::now());
   try_->answer = answer;
   try_->head = head;
   try_->streams =
@@ -336,6 +361,7 @@
 
 void RelayedRequest::ReleaseEndpoint(bool good) {
   relay_->pool_.Ended(try_->endpoint, good, Clock::now());
+  relay_->loads_.Ended(try_->ticket);
   try_->call.reset();
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -28,6 +28,7 @@
   std::string version;
   std::shared_ptr<ClientCall> call;
   TimePoint sent_at{};
+  uint64_t ticket = 0;  // of EngineLoads
   bool has_head = false;
   AnswerHead answer;
   HttpHead head;
@@ -53,6 +54,7 @@
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
   uint64_t Affinity() const;
+  EngineWork Work() const;
   void NoteSession();
 
   // ClientCall::Observer.
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -208,6 +208,32 @@
   return choice;
 }
 
+EndpointPool::Choice EndpointPool::PickCheapest(
+    const std::string& target, uint64_t affinity,
+    const std::set<std::string>& excluded, TimePoint now, const Filter& allowed,
+    const Cost& cost) const {
+  Shard& shard = ShardOf(target);
+  std::lock_guard<std::mutex> lock(shard.mutex);
+  auto endpoints = shard.targets.find(target);
+  if (endpoints == shard.targets.end()) return Choice();
+  auto candidates = Candidates(endpoints->second, excluded, now, allowed);
+  std::sort(candidates.begin(), candidates.end(),
+            [affinity](const Endpoint* a, const Endpoint* b) {
+              return Preference(a->listed.address, affinity) >
+                     Preference(b->listed.address, affinity);
+            });
+  Choice choice;
+  double least = 0;
+  for (const Endpoint* endpoint : candidates) {
+    bool preferred = endpoint == candidates.front();
+    double its_cost = cost(endpoint->listed, preferred);
+    if (!choice.address.empty() && its_cost >= least) continue;
+    least = its_cost;
+    choice = Choice{endpoint->listed.address, LoadOf(*endpoint, now)};
+  }
+  return choice;
+}
+
 void EndpointPool::Started(const std::string& address) {
   With(address, [](Endpoint* endpoint) { ++endpoint->own; });
 }
--- a/leverwick/endpoints.h
+++ b/leverwick/endpoints.h
@@ -64,6 +64,13 @@
   // prompt prefix; `excluded` were tried already; `allowed`, when given, may
   // rule endpoints out.
   using Filter = std::function<bool(const ListedEndpoint&)>;
+  // What a request would cost at an endpoint; `preferred`: the one that the
+  // affinity hashes to.
+  using Cost = std::function<double(const ListedEndpoint&, bool preferred)>;
+  // The endpoint of least cost; among equals the one preferred most.
+  Choice PickCheapest(const std::string& target, uint64_t affinity,
+                      const std::set<std::string>& excluded, TimePoint now,
+                      const Filter& allowed, const Cost& cost) const;
   Choice Pick(const std::string& target, uint64_t affinity,
               const std::set<std::string>& excluded, TimePoint now,
               const Filter& allowed = nullptr) const;
--- /dev/null
+++ b/leverwick/engine_loads.cc
@@ -0,0 +1,171 @@
+// The pace of a kind is the fast side of what was seen: an estimate falls at
+// once to a faster answer's and rises slowly to slower ones, so that delays
+// are not learned as normal.
+
+#include "leverwick/engine_loads.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "leverwick/digest.h"
+
+namespace leverwick {
+namespace {
+
+// Parts sent within this are taken to be kept still: engines of the present
+// sites read their whole memory's worth of tokens in 30 s and more.
+constexpr std::chrono::seconds kKept{20};
+// What other boxes are taken to have had read at the preferred endpoint, of
+// parts that this box knows nothing of.
+constexpr double kReadByOthers = 0.9;
+// Reading a token here delays the requests beside it as well.
+constexpr double kHoldsUpOthers = 3;
+// Delays below this are the engines' ordinary unevenness.
+constexpr double kOrdinaryDelay = 0.1;  // seconds
+// A delay that was seen counts half after this time.
+constexpr double kDelayHalfLife = 1.0;  // seconds
+// Weight of a new answer in an endpoint's delay.
+constexpr double kDelayWeight = 0.5;
+// Rise of a kind's pace to slower answers, a sample.
+constexpr double kPaceRise = 0.02;
+constexpr double kPaceFall = 0.3;
+// Answers whose prompts are at least this long tell the pace of reading.
+constexpr double kLongPrompt = 1000;  // tokens
+// One request beside another slows both a little.
+constexpr double kBeside = 0.002;  // seconds
+
+uint64_t PartKey(const std::string& model, const std::string& part) {
+  return StableHash(part, StableHash(model));
+}
+
+}  // namespace
+
+double EngineLoads::UnreadTokens(const std::string& endpoint,
+                                 const EngineWork& work, bool preferred,
+                                 TimePoint now) const {
+  if (work.prompt == nullptr) return 0;
+  auto found = endpoints_.find(endpoint);
+  double unread = 0;
+  bool kept = true;  // a part counts only if every part before it is kept
+  for (size_t i = 0; i < work.prompt->size(); ++i) {
+    const PromptPart& part = (*work.prompt)[i];
+    if (kept && found != endpoints_.end()) {
+      auto sent = found->second.parts.find(PartKey(work.model, part.id));
+      if (sent != found->second.parts.end() && now - sent->second < kKept) {
+        continue;
+      }
+    }
+    kept = false;
+    bool shared = i + 1 < work.prompt->size();
+    double share = preferred && shared ? 1 - kReadByOthers : 1;
+    unread += share * static_cast<double>(part.tokens);
+  }
+  return unread;
+}
+
+double EngineLoads::Delay(const Endpoint& endpoint, TimePoint now) {
+  double age = ToSeconds(now - endpoint.delay_at);
+  return endpoint.delay * std::exp2(-age / kDelayHalfLife);
+}
+
+const EngineLoads::Pace& EngineLoads::PaceOf(const std::string& kind) const {
+  static const Pace unknown;
+  auto found = paces_.find(kind);
+  return found == paces_.end() ? unknown : found->second;
+}
+
+Seconds EngineLoads::ExpectedWait(const std::string& endpoint,
+                                  const EngineWork& work, bool preferred,
+                                  TimePoint now) const {
+  const Pace& pace = PaceOf(work.kind);
+  double unread = UnreadTokens(endpoint, work, preferred, now);
+  auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return Seconds(pace.seconds +
+                   kHoldsUpOthers * unread * pace.seconds_per_token);
+  }
+  const Endpoint& known = found->second;
+  double waited = 0;
+  if (!known.waiting.empty()) {
+    const Pending& oldest = pending_.at(known.waiting.begin()->first);
+    waited = ToSeconds(now - oldest.sent) - oldest.expected;
+  }
+  double delay = std::max(Delay(known, now), waited);
+  delay = std::max(0.0, delay - kOrdinaryDelay);
+  double tokens = kHoldsUpOthers * unread + known.unread;
+  double beside = kBeside * static_cast<double>(known.waiting.size());
+  return Seconds(pace.seconds + delay + beside +
+                 tokens * pace.seconds_per_token);
+}
+
+uint64_t EngineLoads::Sent(const std::string& endpoint, const EngineWork& work,
+                           TimePoint now) {
+  uint64_t ticket = ++last_ticket_;
+  Pending pending;
+  pending.endpoint = endpoint;
+  pending.kind = work.kind;
+  pending.unread = UnreadTokens(endpoint, work, false, now);
+  pending.sent = now;
+  const Pace& pace = PaceOf(work.kind);
+  pending.expected = pace.seconds + pending.unread * pace.seconds_per_token;
+  Endpoint& into = endpoints_[endpoint];
+  into.waiting[ticket] = now;
+  into.unread += pending.unread;
+  if (work.prompt != nullptr) {
+    for (const PromptPart& part : *work.prompt) {
+      into.parts[PartKey(work.model, part.id)] = now;
+    }
+  }
+  pending_[ticket] = std::move(pending);
+  return ticket;
+}
+
+void EngineLoads::Learn(const Pending& pending, double took) {
+  Pace& pace = paces_[pending.kind];
+  pace.samples += 1;
+  auto move = [](double* value, double seen) {
+    *value += (seen < *value ? kPaceFall : kPaceRise) * (seen - *value);
+  };
+  if (pending.unread < kLongPrompt) {
+    move(&pace.seconds, took);
+  } else {
+    double reading = std::max(0.0, took - pace.seconds);
+    move(&pace.seconds_per_token, reading / pending.unread);
+  }
+}
+
+void EngineLoads::Began(uint64_t ticket, TimePoint now) {
+  auto found = pending_.find(ticket);
+  if (found == pending_.end()) return;
+  const Pending& pending = found->second;
+  double took = ToSeconds(now - pending.sent);
+  Endpoint& endpoint = endpoints_[pending.endpoint];
+  double late = std::max(0.0, took - pending.expected);
+  endpoint.delay += kDelayWeight * (late - Delay(endpoint, now));
+  endpoint.delay = std::max(0.0, endpoint.delay);
+  endpoint.delay_at = now;
+  Learn(pending, took);
+  Ended(ticket);
+}
+
+void EngineLoads::Ended(uint64_t ticket) {
+  auto found = pending_.find(ticket);
+  if (found == pending_.end()) return;
+  Endpoint& endpoint = endpoints_[found->second.endpoint];
+  endpoint.unread = std::max(0.0, endpoint.unread - found->second.unread);
+  endpoint.waiting.erase(ticket);
+  pending_.erase(found);
+}
+
+void EngineLoads::Expire(TimePoint now) {
+  for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
+    auto& parts = entry->second.parts;
+    for (auto part = parts.begin(); part != parts.end();) {
+      part = now - part->second > kKept ? parts.erase(part) : std::next(part);
+    }
+    bool idle = parts.empty() && entry->second.waiting.empty();
+    entry = idle ? endpoints_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace leverwick
