--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -19,9 +19,9 @@
 // parts that this box knows nothing of.
 constexpr double kReadByOthers = 0.9;
 // Reading a token here delays the requests beside it as well.
-constexpr double kHoldsUpOthers = 3;
+constexpr double kHoldsUpOthers = 6;
 // Delays below this are the engines' ordinary unevenness.
-constexpr double kOrdinaryDelay = 0.1;  // seconds
+constexpr double kOrdinaryDelay = 0.3;  // seconds
 // A delay that was seen counts half after this time.
 constexpr double kDelayHalfLife = 1.0;  // seconds
 // Weight of a new answer in an endpoint's delay.
