--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -139,6 +139,7 @@
       Seconds wait =
           relay_->loads_.ExpectedWait(endpoint.address, work, preferred, now);
       bool far = endpoint.data_centre != relay_->options_.data_centre;
+      wait += relay_->loads_.CutOffWait(endpoint.data_centre, now);
       return (wait + (far ? kFarCost : Seconds(0))).count();
     };
     return relay_->pool_
@@ -176,6 +177,7 @@
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
+  try_->data_centre = endpoint.data_centre;
   try_->sent_at = Clock::now();
   try_->ticket = relay_->loads_.Sent(endpoint.id, Work(), try_->sent_at);
   TellSend(endpoint);
@@ -211,6 +213,7 @@
   }
   try_->has_head = true;
   if (answer.succeeded()) relay_->loads_.Began(try_->ticket, Clock::now());
+  relay_->loads_.Reached(try_->data_centre);
   try_->answer = answer;
   try_->head = head;
   try_->streams =
@@ -322,6 +325,7 @@
                                     {"sent", failure.sent ? "yes" : "no"},
                                     {"garbled", failure.garbled ? "yes" : "no"},
                                     {"error", failure.error.message()}});
+  relay_->loads_.Failed(try_->ticket, try_->data_centre, Clock::now());
   EndTry(failure.sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent);
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -26,6 +26,7 @@
 struct EndpointTry {
   std::string endpoint;
   std::string version;
+  std::string data_centre;
   std::shared_ptr<ClientCall> call;
   TimePoint sent_at{};
   uint64_t ticket = 0;  // of EngineLoads
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -31,6 +31,14 @@
 constexpr double kPaceFall = 0.3;
 // Answers whose prompts are at least this long tell the pace of reading.
 constexpr double kLongPrompt = 1000;  // tokens
+// An endpoint that failed is avoided like one that is so much later, fading.
+constexpr double kFailureDelay = 3;  // seconds
+// So many endpoints of a data centre failing, and none answering, is a cut
+// rather than their own fault. While it is avoided, a request that finds no
+// place elsewhere still goes there and shows whether it is over.
+constexpr size_t kCutOffEndpoints = 3;
+constexpr std::chrono::seconds kCutOffTime{2};
+constexpr double kCutOffDelay = 1;  // seconds
 // One request beside another slows both a little.
 constexpr double kBeside = 0.002;  // seconds
 
@@ -157,6 +165,34 @@
   pending_.erase(found);
 }
 
+void EngineLoads::Failed(uint64_t ticket, const std::string& data_centre,
+                         TimePoint now) {
+  auto found = pending_.find(ticket);
+  if (found == pending_.end()) return;
+  Endpoint& endpoint = endpoints_[found->second.endpoint];
+  endpoint.delay = std::max(Delay(endpoint, now), kFailureDelay);
+  endpoint.delay_at = now;
+  // What it had read may be gone with it.
+  endpoint.parts.clear();
+  Failures& failures = failures_[data_centre];
+  failures.endpoints.insert(found->second.endpoint);
+  failures.last = now;
+  Ended(ticket);
+}
+
+void EngineLoads::Reached(const std::string& data_centre) {
+  failures_.erase(data_centre);
+}
+
+Seconds EngineLoads::CutOffWait(const std::string& data_centre,
+                                TimePoint now) const {
+  auto found = failures_.find(data_centre);
+  bool cut_off = found != failures_.end() &&
+                 found->second.endpoints.size() >= kCutOffEndpoints &&
+                 now - found->second.last < kCutOffTime;
+  return Seconds(cut_off ? kCutOffDelay : 0);
+}
+
 void EngineLoads::Expire(TimePoint now) {
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
     auto& parts = entry->second.parts;
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -45,6 +46,12 @@
                 TimePoint now);
   void Began(uint64_t ticket, TimePoint now);
   void Ended(uint64_t ticket);
+  // The endpoint could not be reached or broke off before it answered.
+  void Failed(uint64_t ticket, const std::string& data_centre, TimePoint now);
+  // It answered, so its data centre can be reached.
+  void Reached(const std::string& data_centre);
+  // The wait to add for a data centre that could not be reached lately.
+  Seconds CutOffWait(const std::string& data_centre, TimePoint now) const;
 
   // Forgets parts that have not been used for long, and idle endpoints.
   void Expire(TimePoint now);
@@ -76,12 +83,19 @@
     double samples = 0;
   };
 
+  // Endpoints of one data centre that failed since one of it last answered.
+  struct Failures {
+    std::set<std::string> endpoints;
+    TimePoint last{};
+  };
+
   static double Delay(const Endpoint& endpoint, TimePoint now);
   const Pace& PaceOf(const std::string& kind) const;
   void Learn(const Pending& pending, double took);
 
   std::unordered_map<std::string, Endpoint> endpoints_;
   std::unordered_map<std::string, Pace> paces_;
+  std::map<std::string, Failures> failures_;  // by data centre
   std::unordered_map<uint64_t, Pending> pending_;
   uint64_t last_ticket_ = 0;
 };
