--- a/daemon/admin.cc
+++ b/daemon/admin.cc
@@ -72,7 +72,8 @@
   status["cut_off"] = node_->freshness.At(Clock::now()) == Freshness::kCutOff;
   status["roster_epoch"] = Json::UInt64(roster.epoch());
   status["members"] = roster.members_size();
-  status["slots_active"] = node_->slots_active.load();
+  status["slots_active"] =
+      roster.epoch() > 0 && node_->slots_epoch == roster.epoch();
   status["endpoints"] = Json::UInt64(node_->endpoints.addresses().size());
   status["in_progress"] = node_->in_progress.load();
   status["bills_queued"] = Json::UInt64(node_->bills.size());
--- a/daemon/claim_desk.cc
+++ b/daemon/claim_desk.cc
@@ -110,7 +110,9 @@
 void ClaimDesk::Maintain() {
   auto now = std::chrono::system_clock::now();
   auto slots = static_cast<uint32_t>(node_->settings.claims().slots());
-  node_->slots_active = owner_->ActivateOwned(slots, now);
+  // Read first: slots that were active on an older roster prove nothing.
+  uint64_t epoch = node_->CurrentRoster().epoch();
+  if (owner_->ActivateOwned(slots, now)) node_->slots_epoch = epoch;
   // Copies keep claims longer than owners look at them, for clocks differ.
   nanoseconds window = FromProto(node_->settings.claims().window());
   node_->claim_copies.Expire(
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -62,7 +62,8 @@
   PeerLinks peers;
   std::atomic<bool> table_ready{false};
   std::atomic<bool> list_ready{false};
-  std::atomic<bool> slots_active{false};  // all that this box owns
+  // The roster on which all slots that this box owns are active; 0: none.
+  std::atomic<uint64_t> slots_epoch{0};
   std::atomic<bool> stopping{false};
   std::atomic<int> in_progress{0};
   std::atomic<uint64_t> next_sequence{1};
