--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -101,7 +101,8 @@
   if (!may_come_back) come_back_after.reset();
   metrics_.Add("leverwick_refused_total",
                std::string("result=\"") + info.name + "\"", 1);
-  kLog.Info("Request is refused.",
+  kLog.Info(info.run_state == RunState::kNotRun ? "Request is refused."
+                                                : "Request failed.",
             {{"request", request_id},
              {"result", info.name},
              {"config",
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -347,9 +347,7 @@
                (log_.attempts_left() &&
                 (route_.repeatable() || (refused && !log_.may_have_run())));
   NextStep step = log_.After(outcome, could && MayResend(outcome));
-  relay_->metrics_.Add(
-      "leverwick_tries_ended_total",
-      std::string("outcome=\"") + (refused ? "refused" : "failed") + "\"", 1);
+  TellTryEnd(outcome, step);
   if (step == NextStep::kTryAgain) return Dispatch();
   if (stream_started_) {
     exchange_->BreakOff();
@@ -404,6 +402,23 @@
 
 void RelayedRequest::OnCallerLeft() { Finish("caller_left"); }
 
+// One line for a try without an answer to pass on, with what comes next.
+void RelayedRequest::TellTryEnd(AttemptOutcome outcome, NextStep step) {
+  relay_->metrics_.Add("leverwick_tries_ended_total",
+                       std::string("outcome=\"") + NameOf(outcome) + "\"", 1);
+  relay_->sampler_.CountLine(Clock::now());
+  kLog.Info(
+      "Try ended without an answer.",
+      {{"request", request_.id},
+       {"attempt", std::to_string(log_.attempts())},
+       {"endpoint", try_->endpoint},
+       {"outcome", NameOf(outcome)},
+       {"status",
+        try_->has_head ? std::to_string(try_->answer.status) : "none"},
+       {"after_event", events_.last_id().empty() ? "none" : events_.last_id()},
+       {"next", NameOf(step)}});
+}
+
 // One line for a request that ended, with all that decided it.
 void RelayedRequest::TellEnd(const char* outcome) {
   TimePoint now = Clock::now();
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -84,6 +84,7 @@
 
   // Telling.
   void TellSend(const DirectoryEntry& endpoint);
+  void TellTryEnd(AttemptOutcome outcome, NextStep step);
   void TellEnd(const char* outcome);
 
   milliseconds TimeLeft(TimePoint now) const;
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -131,7 +131,9 @@
   void Fail(std::error_code why, bool garbled) {
     auto call = call_;
     ClientCall::Failure failure;
-    failure.error = why ? why : std::error_code(Result::kBadResponse);
+    std::error_code ended =
+        garbled ? Result::kBadResponse : Result::kShortAnswer;
+    failure.error = why ? why : ended;
     failure.sent = tcp_->any_sent();
     failure.garbled = garbled;
     Close();
