--- a/app/leverwickd.cc
+++ b/app/leverwickd.cc
@@ -6,13 +6,16 @@
 //
 // `platform.kind` decides what it runs as: the product's own daemon before a
 // log service, or a relay before a store of keyed records. SIGTERM and SIGINT
-// begin a planned stop; SIGHUP makes a relay read its settings again.
+// begin a planned stop; SIGHUP makes a relay read its settings again, and so
+// does a change of the file without a signal.
 //
 // Exit codes: 0 a planned stop that cut nothing, 1 it could not start, 2 the
 // settings are not valid, 3 the stop cut requests at its bound.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <filesystem>
 #include <iostream>
 
 #include "app/stop_signal.h"
@@ -28,6 +31,9 @@
 constexpr int kCantStart = 1;
 constexpr int kInvalidSettings = 2;
 constexpr int kCutRequests = 3;
+// How often the settings file is looked at: it changes seldom, and what can
+// change in it while a box runs is the store's address.
+constexpr std::chrono::seconds kLookInterval{2};
 
 struct Options {
   std::string config;
@@ -56,6 +62,7 @@
   int Run() {
     if (front_.Start()) return kCantStart;
     AwaitSignal();
+    WatchFile();
     loop_.run();
     return cut_ == 0 ? 0 : kCutRequests;
   }
@@ -76,6 +83,21 @@
     });
   }
 
+  // A failure to look is a file that is being replaced: the next look tells.
+  void WatchFile() {
+    std::error_code missing;
+    auto written = std::filesystem::last_write_time(file_, missing);
+    if (!missing && written != written_) {
+      bool first = written_ == std::filesystem::file_time_type();
+      written_ = written;
+      if (!first) Reload();
+    }
+    watch_.expires_after(kLookInterval);
+    watch_.async_wait([this](auto error) {
+      if (!error) WatchFile();
+    });
+  }
+
   void Reload() {
     leverwick::DaemonSettings settings;
     auto report = leverwick::LoadSettings(file_, &settings);
@@ -89,6 +111,8 @@
   boost::asio::io_context loop_{1};
   leverwick::platform::Front front_;
   boost::asio::signal_set signals_;
+  boost::asio::steady_timer watch_{loop_};
+  std::filesystem::file_time_type written_{};
   int cut_ = 0;
 };
 
