A relayed request's telling has its own file; endpoint choice is split

The log lines and metrics stood among the decisions. The choice of an endpoint was a lambda in a lambda; it is now a pick on one side and an expected wait. Doubled steps (breaking a stream, passing a failure on, the chosen model) are functions. No change of behaviour.

--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -5,17 +5,13 @@
 #include "daemon/relayed_request.h"
 
 #include <algorithm>
-#include <cmath>
-#include <cstring>
+#include <boost/asio/post.hpp>
 
 #include "leverwick/digest.h"
-#include "net/log.h"
 
 namespace leverwick {
 namespace {
 
-const Log kLog("request");
-
 // What an answer needs to reach the caller before it stops waiting.
 constexpr milliseconds kReturnTime{20};
 // A try with less time than this is not begun: it could not be answered.
@@ -30,10 +26,10 @@
 // When to come back if every endpoint was full or none could be reached: the
 // pool drains some requests in this time.
 constexpr milliseconds kComeBackAfter{250};
-constexpr char kAnswered[] = "answered";
 // What sending to another data centre costs: its way there and back, and the
 // bytes between data centres.
 constexpr Seconds kFarCost{0.005};
+
 // An answer that promises the request was not run, by its status alone.
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -92,13 +88,15 @@
   relay_->rollouts_.Served(service_, request_.session, Clock::now());
 }
 
+const std::string& RelayedRequest::chosen_model() const {
+  static const std::string as_named;
+  bool chosen = request_.any_model && !route_.models.empty();
+  return chosen ? route_.models[model_] : as_named;
+}
+
 EngineWork RelayedRequest::Work() const {
   EngineWork work;
-  if (request_.any_model && !route_.models.empty()) {
-    work.model = route_.models[model_];
-  } else {
-    work.model = request_.model;
-  }
+  work.model = chosen_model().empty() ? request_.model : chosen_model();
   work.kind = route_.name + "/" + work.model;
   if (!request_.prompt.empty()) work.prompt = &request_.prompt;
   return work;
@@ -126,32 +124,42 @@
 }
 
 std::string RelayedRequest::PickFrom(const std::set<std::string>& excluded) {
+  std::string endpoint = PickOn(side_, excluded);
+  // A version without endpoints of its own leaves its requests to the other,
+  // but nothing new goes to a target that is bad.
+  bool may_cross = relay_->rollouts_.MayUseTarget(service_);
+  if (endpoint.empty() && may_cross) {
+    endpoint = PickOn(ServiceRollouts::Side::kAny, excluded);
+  }
+  return endpoint;
+}
+
+std::string RelayedRequest::PickOn(ServiceRollouts::Side side,
+                                   const std::set<std::string>& excluded) {
   using Side = ServiceRollouts::Side;
   std::string target = relay_->rollouts_.TargetOf(service_);
   TimePoint now = Clock::now();
   EngineWork work = Work();
-  auto pick = [&](Side wanted) {
-    auto allowed = [&](const ListedEndpoint& endpoint) {
-      return wanted == Side::kAny ||
-             (endpoint.version == target) == (wanted == Side::kTarget);
-    };
-    auto cost = [&](const ListedEndpoint& endpoint, bool preferred) {
-      Seconds wait =
-          relay_->loads_.ExpectedWait(endpoint.address, work, preferred, now);
-      bool far = endpoint.data_centre != relay_->options_.data_centre;
-      wait += relay_->loads_.CutOffWait(endpoint.data_centre, now);
-      return (wait + (far ? kFarCost : Seconds(0))).count();
-    };
-    return relay_->pool_
-        .PickCheapest(service_, Affinity(), excluded, now, allowed, cost)
-        .address;
+  auto allowed = [&](const ListedEndpoint& endpoint) {
+    return side == Side::kAny ||
+           (endpoint.version == target) == (side == Side::kTarget);
   };
-  std::string endpoint = pick(side_);
-  // A version without endpoints of its own leaves its requests to the other,
-  // but nothing new goes to a target that is bad.
-  bool may_cross = relay_->rollouts_.MayUseTarget(service_);
-  if (endpoint.empty() && may_cross) endpoint = pick(Side::kAny);
-  return endpoint;
+  auto cost = [&](const ListedEndpoint& endpoint, bool preferred) {
+    return ExpectedWait(endpoint, work, preferred, now).count();
+  };
+  return relay_->pool_
+      .PickCheapest(service_, Affinity(), excluded, now, allowed, cost)
+      .address;
+}
+
+Seconds RelayedRequest::ExpectedWait(const ListedEndpoint& endpoint,
+                                     const EngineWork& work, bool preferred,
+                                     TimePoint now) const {
+  const EngineLoads& loads = relay_->loads_;
+  bool far = endpoint.data_centre != relay_->options_.data_centre;
+  return loads.ExpectedWait(endpoint.address, work, preferred, now) +
+         loads.CutOffWait(endpoint.data_centre, now) +
+         (far ? kFarCost : Seconds(0));
 }
 
 void RelayedRequest::Dispatch() {
@@ -160,13 +168,9 @@
   const DirectoryEntry* endpoint = relay_->directory_.Find(chosen);
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
-  if (stream_started_) {
-    exchange_->BreakOff();
-    return Finish("stream_broken");
-  }
+  if (stream_started_) return BreakStream("stream_broken");
   if (!log_.may_have_run()) return AnswerNotRun(Result::kNoEndpoint);
-  if (failure_) return PassAnswer(failure_->first, failure_->second);
-  AnswerOwn(Result::kUnknownOutcome);
+  AnswerFailure(Result::kUnknownOutcome);
 }
 
 void RelayedRequest::SendTo(const DirectoryEntry& endpoint) {
@@ -191,9 +195,7 @@
   order.organisation = holder_.organisation;
   order.time_left = std::max(TimeLeft(Clock::now()), milliseconds(1));
   order.last_event_id = events_.last_id();
-  if (request_.any_model && !route_.models.empty()) {
-    order.model = route_.models[model_];
-  }
+  order.model = chosen_model();
   HttpHead head = relay_->dialect_->ToEndpoint(exchange_->head(), order);
   const std::string& body = exchange_->body();
   bool has_body = !body.empty() || exchange_->head().has_length;
@@ -204,11 +206,7 @@
 bool RelayedRequest::OnAnswerHead(const HttpHead& head) {
   AnswerHead answer = relay_->dialect_->ReadAnswer(head);
   if (answer.request_id != request_.id) {
-    relay_->metrics_.Add("leverwick_surplus_answers_total", "", 1);
-    kLog.Warning("An answer of another request is dropped.",
-                 {{"request", request_.id},
-                  {"endpoint", try_->endpoint},
-                  {"answers", answer.request_id}});
+    TellSurplus(answer);
     return false;
   }
   try_->has_head = true;
@@ -320,11 +318,7 @@
 void RelayedRequest::OnCallFailed(const ClientCall::Failure& failure) {
   auto self = shared_from_this();
   if (try_->weak) return;  // AskLargerModel is on its way
-  kLog.Info("A connection broke.", {{"request", request_.id},
-                                    {"endpoint", try_->endpoint},
-                                    {"sent", failure.sent ? "yes" : "no"},
-                                    {"garbled", failure.garbled ? "yes" : "no"},
-                                    {"error", failure.error.message()}});
+  TellBroken(failure);
   relay_->loads_.Failed(try_->ticket, try_->data_centre, Clock::now());
   EndTry(failure.sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent);
 }
@@ -349,16 +343,12 @@
   NextStep step = log_.After(outcome, could && MayResend(outcome));
   TellTryEnd(outcome, step);
   if (step == NextStep::kTryAgain) return Dispatch();
-  if (stream_started_) {
-    exchange_->BreakOff();
-    return Finish("stream_broken");
-  }
+  if (stream_started_) return BreakStream("stream_broken");
   if (step == NextStep::kAnswerNotRun) {
     return AnswerNotRun(refused ? Result::kEndpointRefused
                                 : Result::kNoEndpoint);
   }
-  if (failure_) return PassAnswer(failure_->first, failure_->second);
-  AnswerOwn(promised ? Result::kFailed : Result::kUnknownOutcome);
+  AnswerFailure(promised ? Result::kFailed : Result::kUnknownOutcome);
 }
 
 void RelayedRequest::ReleaseEndpoint(bool good) {
@@ -389,84 +379,26 @@
   Finish(Info(result).name);
 }
 
+void RelayedRequest::AnswerFailure(Result own_result) {
+  if (failure_) return PassAnswer(failure_->first, failure_->second);
+  AnswerOwn(own_result);
+}
+
+void RelayedRequest::BreakStream(const char* outcome) {
+  exchange_->BreakOff();
+  Finish(outcome);
+}
+
 void RelayedRequest::OnTimeUp() {
   if (finished_) return;
   bool sent = try_ && try_->call && try_->call->sent();
-  if (stream_started_) {
-    exchange_->BreakOff();
-    return Finish("stream_timed_out");
-  }
+  if (stream_started_) return BreakStream("stream_timed_out");
   if (!sent && !log_.may_have_run()) return AnswerNotRun(Result::kQueueTimeout);
   AnswerOwn(Result::kDeadline);
 }
 
 void RelayedRequest::OnCallerLeft() { Finish("caller_left"); }
 
-// One line for a try without an answer to pass on, with what comes next.
-void RelayedRequest::TellTryEnd(AttemptOutcome outcome, NextStep step) {
-  relay_->metrics_.Add("leverwick_tries_ended_total",
-                       std::string("outcome=\"") + NameOf(outcome) + "\"", 1);
-  relay_->sampler_.CountLine(Clock::now());
-  kLog.Info(
-      "Try ended without an answer.",
-      {{"request", request_.id},
-       {"attempt", std::to_string(log_.attempts())},
-       {"endpoint", try_->endpoint},
-       {"outcome", NameOf(outcome)},
-       {"status",
-        try_->has_head ? std::to_string(try_->answer.status) : "none"},
-       {"after_event", events_.last_id().empty() ? "none" : events_.last_id()},
-       {"next", NameOf(step)}});
-}
-
-// One line for a request that ended, with all that decided it.
-void RelayedRequest::TellEnd(const char* outcome) {
-  TimePoint now = Clock::now();
-  Seconds took = now - exchange_->received();
-  relay_->metrics_.Add("leverwick_requests_total",
-                       std::string("outcome=\"") + outcome + "\"", 1);
-  relay_->metrics_.Time("leverwick_request_seconds", "", took);
-  if (stream_started_) {
-    relay_->metrics_.Time("leverwick_first_event_seconds", "",
-                          first_event_at_ - exchange_->received());
-  }
-  bool plain = std::strcmp(outcome, kAnswered) == 0;
-  if (plain && !relay_->sampler_.Keeps(request_.id)) return;
-  relay_->sampler_.CountLine(now);
-  kLog.Info(
-      "Request ended.",
-      {{"request", request_.id},
-       {"route", route_.name},
-       {"organisation", holder_.organisation},
-       {"config", std::to_string(config_->version())},
-       {"attempts", std::to_string(log_.attempts())},
-       {"endpoint", try_ ? try_->endpoint : "none"},
-       {"status",
-        try_ && try_->has_head ? std::to_string(try_->answer.status) : "none"},
-       {"events", std::to_string(events_.events())},
-       {"outcome", outcome},
-       {"took_ms", std::to_string(std::lround(took.count() * 1000))}});
-}
-
-// One line for a send, with what chose the endpoint.
-void RelayedRequest::TellSend(const DirectoryEntry& endpoint) {
-  if (!relay_->sampler_.Keeps(request_.id) && log_.attempts() <= 1) return;
-  relay_->sampler_.CountLine(try_->sent_at);
-  kLog.Info(
-      "Request is sent.",
-      {{"request", request_.id},
-       {"attempt", std::to_string(log_.attempts())},
-       {"endpoint", endpoint.id},
-       {"version", endpoint.version},
-       {"model", request_.any_model && !route_.models.empty()
-                     ? route_.models[model_]
-                     : "given"},
-       {"own_requests", std::to_string(relay_->pool_.OwnRequests(endpoint.id))},
-       {"after_event", events_.last_id().empty() ? "none" : events_.last_id()},
-       {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
-       {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())}});
-}
-
 void RelayedRequest::Finish(const char* outcome) {
   if (finished_) return;
   finished_ = true;
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -5,6 +5,10 @@
 // endpoint's own answer, or one of ours. A stream's head is held until its
 // first whole event, and a stream that breaks goes on elsewhere behind the
 // last whole event that was passed on.
+//
+//   auto relayed = std::make_shared<RelayedRequest>(relay, exchange, request,
+//                                                   route, holder);
+//   relayed->Start();  // the relay holds it until it ends
 
 #ifndef DAEMON_RELAYED_REQUEST_H_
 #define DAEMON_RELAYED_REQUEST_H_
@@ -14,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "daemon/dialect.h"
 #include "daemon/relay.h"
@@ -52,9 +57,16 @@
   void Dispatch();
   std::string ChooseEndpoint();
   std::string PickFrom(const std::set<std::string>& excluded);
+  std::string PickOn(ServiceRollouts::Side side,
+                     const std::set<std::string>& excluded);
+  Seconds ExpectedWait(const ListedEndpoint& endpoint, const EngineWork& work,
+                       bool preferred, TimePoint now) const;
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
+  // Requests with the same value are best sent to the same endpoint.
   uint64_t Affinity() const;
+  // The model that was chosen for the caller; empty: as the caller named it.
+  const std::string& chosen_model() const;
   EngineWork Work() const;
   void NoteSession();
 
@@ -78,13 +90,24 @@
   void PassAnswer(HttpHead head, const std::string& body);
   void AnswerNotRun(Result result);
   void AnswerOwn(Result result);
+  // The endpoint's own failure if one came, or else ours.
+  void AnswerFailure(Result own_result);
+  void BreakStream(const char* outcome);
   void OnTimeUp();
   void OnCallerLeft();
   void Finish(const char* outcome);
 
-  // Telling.
+  // Logs and metrics; in relayed_request_log.cc.
+  static constexpr char kAnswered[] = "answered";  // an outcome of Finish
+  std::string LastEvent() const;
+  std::string TryStatus() const;
+  // One line for a send, with what chose the endpoint.
   void TellSend(const DirectoryEntry& endpoint);
+  void TellSurplus(const AnswerHead& answer);
+  void TellBroken(const ClientCall::Failure& failure);
+  // One line for a try without an answer to pass on, with what comes next.
   void TellTryEnd(AttemptOutcome outcome, NextStep step);
+  // One line for a request that ended, with all that decided it.
   void TellEnd(const char* outcome);
 
   milliseconds TimeLeft(TimePoint now) const;
--- /dev/null
+++ b/daemon/relayed_request_log.cc
@@ -0,0 +1,99 @@
+// What logs and metrics tell of a request. A request that goes well is told
+// only if the sampler keeps it; a try that fails, or an end other than an
+// endpoint's answer, is told always.
+
+#include <cmath>
+#include <cstring>
+
+#include "daemon/relayed_request.h"
+#include "net/log.h"
+
+namespace leverwick {
+namespace {
+
+const Log kLog("request");
+
+}  // namespace
+
+std::string RelayedRequest::LastEvent() const {
+  return events_.last_id().empty() ? "none" : events_.last_id();
+}
+
+std::string RelayedRequest::TryStatus() const {
+  bool answered = try_ && try_->has_head;
+  return answered ? std::to_string(try_->answer.status) : "none";
+}
+
+void RelayedRequest::TellSurplus(const AnswerHead& answer) {
+  relay_->metrics_.Add("leverwick_surplus_answers_total", "", 1);
+  kLog.Warning("An answer of another request is dropped.",
+               {{"request", request_.id},
+                {"endpoint", try_->endpoint},
+                {"answers", answer.request_id}});
+}
+
+void RelayedRequest::TellBroken(const ClientCall::Failure& failure) {
+  kLog.Info("A connection broke.", {{"request", request_.id},
+                                    {"endpoint", try_->endpoint},
+                                    {"sent", failure.sent ? "yes" : "no"},
+                                    {"garbled", failure.garbled ? "yes" : "no"},
+                                    {"error", failure.error.message()}});
+}
+
+void RelayedRequest::TellTryEnd(AttemptOutcome outcome, NextStep step) {
+  relay_->metrics_.Add("leverwick_tries_ended_total",
+                       std::string("outcome=\"") + NameOf(outcome) + "\"", 1);
+  relay_->sampler_.CountLine(Clock::now());
+  kLog.Info("Try ended without an answer.",
+            {{"request", request_.id},
+             {"attempt", std::to_string(log_.attempts())},
+             {"endpoint", try_->endpoint},
+             {"outcome", NameOf(outcome)},
+             {"status", TryStatus()},
+             {"after_event", LastEvent()},
+             {"next", NameOf(step)}});
+}
+
+void RelayedRequest::TellEnd(const char* outcome) {
+  TimePoint now = Clock::now();
+  Seconds took = now - exchange_->received();
+  relay_->metrics_.Add("leverwick_requests_total",
+                       std::string("outcome=\"") + outcome + "\"", 1);
+  relay_->metrics_.Time("leverwick_request_seconds", "", took);
+  if (stream_started_) {
+    relay_->metrics_.Time("leverwick_first_event_seconds", "",
+                          first_event_at_ - exchange_->received());
+  }
+  bool plain = std::strcmp(outcome, kAnswered) == 0;
+  if (plain && !relay_->sampler_.Keeps(request_.id)) return;
+  relay_->sampler_.CountLine(now);
+  kLog.Info("Request ended.",
+            {{"request", request_.id},
+             {"route", route_.name},
+             {"organisation", holder_.organisation},
+             {"config", std::to_string(config_->version())},
+             {"attempts", std::to_string(log_.attempts())},
+             {"endpoint", try_ ? try_->endpoint : "none"},
+             {"status", TryStatus()},
+             {"events", std::to_string(events_.events())},
+             {"outcome", outcome},
+             {"took_ms", std::to_string(std::lround(took.count() * 1000))}});
+}
+
+void RelayedRequest::TellSend(const DirectoryEntry& endpoint) {
+  if (!relay_->sampler_.Keeps(request_.id) && log_.attempts() <= 1) return;
+  relay_->sampler_.CountLine(try_->sent_at);
+  kLog.Info(
+      "Request is sent.",
+      {{"request", request_.id},
+       {"attempt", std::to_string(log_.attempts())},
+       {"endpoint", endpoint.id},
+       {"version", endpoint.version},
+       {"model", chosen_model().empty() ? "given" : chosen_model()},
+       {"own_requests", std::to_string(relay_->pool_.OwnRequests(endpoint.id))},
+       {"after_event", LastEvent()},
+       {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
+       {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())}});
+}
+
+}  // namespace leverwick
