--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -14,7 +14,6 @@
 #ifndef DAEMON_ENDPOINT_DIRECTORY_H_
 #define DAEMON_ENDPOINT_DIRECTORY_H_
 
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -77,16 +78,15 @@
   // now on is told that it has not run.
   void StopIntake() { intake_ = false; }
 
-  // The metrics, with the state of this moment.
+  // As text, with the state of this moment.
   std::string MetricsText();
   Metrics* metrics() { return &metrics_; }
-  size_t open_requests() const { return open_.size(); }
 
  private:
   friend class RelayedRequest;
 
-  struct ServiceBudget;
-
+  // Answers in the endpoint's stead. `come_back_after` is left out where the
+  // result is none that a caller may come back from.
   void Refuse(const std::shared_ptr<ServerExchange>& exchange,
               const std::string& request_id, Result result,
               std::optional<milliseconds> come_back_after);
@@ -94,8 +94,8 @@
   Result Admit(const ServiceRoute& route, const CallerRequest& request,
                TimePoint now, KeyHolder* holder) const;
   RetryBudget* BudgetOf(const std::string& service);
-  // Refreshes what the metrics show of the relay's state.
   milliseconds ProofAge() const;
+  // A share from 0 to 1, drawn anew.
   double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
 
   boost::asio::io_context* const loop_;
--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -24,8 +24,7 @@
 
 RelayServer::RelayServer(boost::asio::io_context* loop, Relay* relay,
                          const RelayServerOptions& options, ReadyTest ready)
-    : loop_(loop),
-      relay_(relay),
+    : relay_(relay),
       options_(options),
       ready_test_(std::move(ready)),
       callers_(loop,
--- a/daemon/relay_server.h
+++ b/daemon/relay_server.h
@@ -7,7 +7,6 @@
 //
 //   RelayServer server(&loop, &relay, options);
 //   std::error_code error = server.Start();
-//   server.SetReady(true);
 //   server.Stop([](int cut) {...});
 
 #ifndef DAEMON_RELAY_SERVER_H_
@@ -50,7 +49,6 @@
 
   // Begins a planned stop; `done` gets the number of requests that were cut.
   void Stop(std::function<void(int cut)> done);
-  bool stopping() const { return stopping_; }
 
  private:
   std::error_code ListenAt(AsyncHttpServer* server, const std::string& address);
@@ -58,7 +56,6 @@
   void AnswerMetrics(ServerExchange* exchange);
   void CheckQuiet();
 
-  boost::asio::io_context* const loop_;
   Relay* const relay_;
   const RelayServerOptions options_;
   const ReadyTest ready_test_;
