--- a/daemon/version_watch.cc
+++ b/daemon/version_watch.cc
@@ -5,7 +5,7 @@
 
 #include "daemon/version_watch.h"
 
-#include <algorithm>
+#include <cmath>
 
 #include "leverwick/digest.h"
 #include "net/log.h"
@@ -44,7 +44,11 @@
 }
 
 std::string SubjectOf(const WatchedTry& tried) {
-  return tried.service + "/" + tried.version;
+  return GuardSubject(tried.service, tried.version);
+}
+
+bool BeganLate(const VersionView& baseline, Seconds time) {
+  return time.count() > kSlowBegin * std::exp(baseline.log_latency_mean);
 }
 
 }  // namespace
@@ -75,10 +79,8 @@
   if (!IsWatchedTarget(tried)) return;
   VersionView baseline = Baseline(tried);
   guard_->Answered(SubjectOf(tried), kErrorsOnly, baseline, observation);
-  if (!failed && baseline.answers >= kLeastAnswers) {
-    double mean = std::exp(baseline.log_latency_mean);
-    Timed(tried, time.count() > kSlowBegin * mean);
-  }
+  bool comparable = baseline.answers >= kLeastAnswers;
+  if (!failed && comparable) Timed(tried, BeganLate(baseline, time));
   CheckTrip(tried);
 }
 
@@ -100,11 +102,9 @@
 void VersionWatch::GaveUp(const WatchedTry& tried, Seconds time) {
   if (!IsWatchedTarget(tried)) return;
   VersionView baseline = Baseline(tried);
-  double mean = std::exp(baseline.log_latency_mean);
+  bool comparable = baseline.answers >= kLeastAnswers;
   // A caller that left early says nothing; only a long wait does.
-  bool slow =
-      baseline.answers >= kLeastAnswers && time.count() > kSlowBegin * mean;
-  if (!slow) return;
+  if (!comparable || !BeganLate(baseline, time)) return;
   Timed(tried, true);
   CheckTrip(tried);
 }
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -24,6 +24,11 @@
   return kNames[static_cast<int>(step)];
 }
 
+std::string GuardSubject(const std::string& service,
+                         const std::string& version) {
+  return service + "/" + version;
+}
+
 void ServiceRollouts::Ordered(const std::string& service,
                               const std::string& target_version,
                               milliseconds duration, TimePoint now) {
@@ -48,11 +53,6 @@
   rollout.step_at = now;
 }
 
-TimePoint ServiceRollouts::StepSince(const std::string& service) const {
-  auto found = rollouts_.find(service);
-  return found == rollouts_.end() ? TimePoint() : found->second.step_at;
-}
-
 void ServiceRollouts::Trip(const std::string& service, const std::string& why) {
   auto found = rollouts_.find(service);
   if (found == rollouts_.end() || IsLast(found->second.step)) return;
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -9,7 +9,7 @@
 //
 //   ServiceRollouts rollouts(options);
 //   rollouts.Ordered("chat", "v2", 24s, now);
-//   Side side = rollouts.SideFor("chat", session, now);
+//   Side side = rollouts.SideFor("chat", session);
 //   for (const RolloutRecord& next : rollouts.Proposals(now)) ...
 //   rollouts.Learned(record, now);   // what the shared record says
 //   rollouts.Trip("chat", "more errors");
@@ -80,9 +80,6 @@
   // What the shared record says; a step never goes back.
   void Learned(const RolloutRecord& record, TimePoint now);
 
-  // When this box learned that the step began.
-  TimePoint StepSince(const std::string& service) const;
-
   // The target version is bad. Holds at once and is never undone.
   void Trip(const std::string& service, const std::string& why);
 
@@ -146,6 +143,10 @@
 
 const char* RolloutStepName(RolloutStep step);
 
+// What Guard holds evidence about a service's version under, on every box.
+std::string GuardSubject(const std::string& service,
+                         const std::string& version);
+
 }  // namespace leverwick
 
 #endif  // LEVERWICK_SERVICE_ROLLOUTS_H_
