--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cstdlib>
 
 #include "leverwick/result.h"
 
@@ -19,9 +20,10 @@
 // The "timeout" of a Keep-Alive field; zero when it names none.
 milliseconds KeepAliveTime(const HttpHead& head) {
   const std::string& field = head.Field("keep-alive");
-  size_t at = field.find("timeout=");
+  constexpr std::string_view kName = "timeout=";
+  size_t at = field.find(kName);
   if (at == std::string::npos) return milliseconds(0);
-  return std::chrono::seconds(std::atol(field.c_str() + at + 8));
+  return std::chrono::seconds(std::atol(field.c_str() + at + kName.size()));
 }
 
 }  // namespace
@@ -45,7 +47,6 @@
     call_->connection_ = shared_from_this();
     reader_.Reset();
     reusable_ = true;
-    whole_ = false;
     tcp_->ForgetSent();
     tcp_->Write(std::move(call_->request_));
   }
@@ -157,7 +158,6 @@
   HttpReader reader_;
   std::shared_ptr<ClientCall> call_;
   bool reusable_ = true;
-  bool whole_ = false;
   bool dropping_ = false;  // reading an answer that is not this request's
   milliseconds usable_time_{0};
   TimePoint usable_until_{};
@@ -257,13 +257,6 @@
              kept.end());
 }
 
-void HttpConnections::Forget(const std::string& address) {
-  auto found = idle_.find(address);
-  if (found == idle_.end()) return;
-  for (const auto& connection : found->second) connection->Close();
-  idle_.erase(found);
-}
-
 size_t HttpConnections::idle() const {
   size_t count = 0;
   for (const auto& entry : idle_) count += entry.second.size();
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -14,11 +14,12 @@
 #define NET_ASYNC_HTTP_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 #include "leverwick/time.h"
@@ -87,9 +88,6 @@
                                    std::string request,
                                    ClientCall::Observer* observer);
 
-  // Closes the kept connections to an address that serves no more.
-  void Forget(const std::string& address);
-
   uint64_t opened() const { return opened_; }
   size_t idle() const;
 
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -5,6 +5,7 @@
 #include "net/async_http_server.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace leverwick {
 namespace {
@@ -48,7 +49,7 @@
   bool will_close() const { return close_after_ || server_->draining_; }
   bool old_caller() const { return old_caller_; }
 
-  // The answer is whole.
+  // Called when the answer is whole.
   void Finish() {
     if (exchange_ == nullptr) return;
     Release();
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -16,10 +16,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 #include "leverwick/time.h"
@@ -69,7 +71,6 @@
   // Ends the connection, so that the answer can't be taken for whole.
   void BreakOff();
 
-  bool started() const { return started_; }
   size_t pending_bytes() const;
 
  private:
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -5,6 +5,7 @@
 #include "net/http_codec.h"
 
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -58,6 +59,12 @@
   return head.Count("host") > 1;
 }
 
+HttpReader::Error ErrorOf(const beast::error_code& error) {
+  if (error == http::error::header_limit) return HttpReader::kHeadTooLarge;
+  if (error == http::error::body_limit) return HttpReader::kBodyTooLarge;
+  return HttpReader::kMalformed;
+}
+
 }  // namespace
 
 bool SameName(std::string_view left, std::string_view right) {
@@ -173,11 +180,9 @@
       error = http::error::bad_transfer_encoding;
       return;
     }
-    auto length = Super::content_length();
     head_.keep_alive = Super::keep_alive();
     head_.chunked = Super::chunked();
-    head_.has_length = length.has_value() || head_.chunked;
-    head_.content_length = length.value_or(0);
+    head_.has_length = Super::content_length().has_value() || head_.chunked;
     observer_->OnHead(std::move(head_));
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
@@ -242,12 +247,7 @@
       if (held_.size() > limits_.head_bytes) error_ = kHeadTooLarge;
       break;
     }
-    if (error == http::error::header_limit)
-      error_ = kHeadTooLarge;
-    else if (error == http::error::body_limit)
-      error_ = kBodyTooLarge;
-    else if (error)
-      error_ = kMalformed;
+    if (error) error_ = ErrorOf(error);
     if (error_ != kNone || size == 0) break;
   }
   *used = taken - before;
@@ -255,8 +255,7 @@
 }
 
 bool HttpReader::Closed() {
-  if (done()) return true;
-  if (!any_read()) return true;
+  if (done() || !any_read()) return true;
   beast::error_code error;
   parser_->PutEof(&error);
   if (error || !parser_->done()) error_ = kCutShort;
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -32,7 +32,6 @@
   bool keep_alive = true;
   bool has_length = false;  // false with a body: ends with the connection
   bool chunked = false;
-  uint64_t content_length = 0;
 
   // The first value of a field, whatever its case; "" when there is none.
   const std::string& Field(std::string_view name) const;
@@ -95,9 +94,9 @@
   class Parser;
   class Base;
 
-  Kind kind_;
-  Limits limits_;
-  Observer* observer_;
+  const Kind kind_;
+  const Limits limits_;
+  Observer* const observer_;
   std::unique_ptr<Base> parser_;
   std::string held_;  // bytes of a head that is not whole yet
   Error error_ = kNone;
