Engine loads and endpoint choice: leftovers removed, comments stand at their functions

A counter that nothing read, a filter that no caller gave and an example with an argument too many are gone; what counts as a kept part is one named step.

--- a/leverwick/attempts.h
+++ b/leverwick/attempts.h
@@ -7,8 +7,7 @@
 //
 //   AttemptLog log(route.repeatable(), route.max_attempts);
 //   log.Sent();
-//   NextStep step = log.After(AttemptOutcome::kRefused, budget_left,
-//   time_left);
+//   NextStep step = log.After(AttemptOutcome::kRefused, may_resend);
 
 #ifndef LEVERWICK_ATTEMPTS_H_
 #define LEVERWICK_ATTEMPTS_H_
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -161,8 +161,7 @@
 EndpointPool::Choice EndpointPool::Pick(const std::string& target,
                                         uint64_t affinity,
                                         const std::set<std::string>& excluded,
-                                        TimePoint now,
-                                        const Filter& allowed) const {
+                                        TimePoint now) const {
   Shard& shard = ShardOf(target);
   std::lock_guard<std::mutex> lock(shard.mutex);
   auto endpoints = shard.targets.find(target);
@@ -172,7 +171,7 @@
   uint64_t highest = 0;
   double least_load = 0;
   for (const Endpoint* endpoint :
-       Candidates(endpoints->second, excluded, now, allowed)) {
+       Candidates(endpoints->second, excluded, now)) {
     double load = LoadOf(*endpoint, now);
     if (least == nullptr || load < least_load) {
       least = endpoint;
--- a/leverwick/endpoints.h
+++ b/leverwick/endpoints.h
@@ -61,19 +61,19 @@
                 TimePoint now);
 
   // Picks an endpoint for `target`. `affinity` is a hash of organisation and
-  // prompt prefix; `excluded` were tried already; `allowed`, when given, may
-  // rule endpoints out.
+  // prompt prefix; `excluded` were tried already.
+  Choice Pick(const std::string& target, uint64_t affinity,
+              const std::set<std::string>& excluded, TimePoint now) const;
+
+  // Whether a request may go to an endpoint at all.
   using Filter = std::function<bool(const ListedEndpoint&)>;
   // What a request would cost at an endpoint; `preferred`: the one that the
   // affinity hashes to.
   using Cost = std::function<double(const ListedEndpoint&, bool preferred)>;
-  // The endpoint of least cost; among equals the one preferred most.
+  // The allowed endpoint of least cost; among equals the one preferred most.
   Choice PickCheapest(const std::string& target, uint64_t affinity,
                       const std::set<std::string>& excluded, TimePoint now,
                       const Filter& allowed, const Cost& cost) const;
-  Choice Pick(const std::string& target, uint64_t affinity,
-              const std::set<std::string>& excluded, TimePoint now,
-              const Filter& allowed = nullptr) const;
 
   // The simple reference of Pick: the least loaded of all, no affinity.
   Choice PickLeastLoaded(const std::string& target,
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -26,7 +26,8 @@
 constexpr double kDelayHalfLife = 1.0;  // seconds
 // Weight of a new answer in an endpoint's delay.
 constexpr double kDelayWeight = 0.5;
-// Rise of a kind's pace to slower answers, a sample.
+// What part of the way a kind's pace goes to a slower answer's, and to a faster
+// one's.
 constexpr double kPaceRise = 0.02;
 constexpr double kPaceFall = 0.3;
 // Answers whose prompts are at least this long tell the pace of reading.
@@ -53,17 +54,17 @@
                                  TimePoint now) const {
   if (work.prompt == nullptr) return 0;
   auto found = endpoints_.find(endpoint);
+  auto is_kept = [&](const PromptPart& part) {
+    if (found == endpoints_.end()) return false;
+    auto sent = found->second.parts.find(PartKey(work.model, part.id));
+    return sent != found->second.parts.end() && now - sent->second < kKept;
+  };
   double unread = 0;
   bool kept = true;  // a part counts only if every part before it is kept
   for (size_t i = 0; i < work.prompt->size(); ++i) {
     const PromptPart& part = (*work.prompt)[i];
-    if (kept && found != endpoints_.end()) {
-      auto sent = found->second.parts.find(PartKey(work.model, part.id));
-      if (sent != found->second.parts.end() && now - sent->second < kKept) {
-        continue;
-      }
-    }
-    kept = false;
+    kept = kept && is_kept(part);
+    if (kept) continue;
     bool shared = i + 1 < work.prompt->size();
     double share = preferred && shared ? 1 - kReadByOthers : 1;
     unread += share * static_cast<double>(part.tokens);
@@ -130,7 +131,6 @@
 
 void EngineLoads::Learn(const Pending& pending, double took) {
   Pace& pace = paces_[pending.kind];
-  pace.samples += 1;
   auto move = [](double* value, double seen) {
     *value += (seen < *value ? kPaceFall : kPaceRise) * (seen - *value);
   };
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -56,10 +56,6 @@
   // Forgets parts that have not been used for long, and idle endpoints.
   void Expire(TimePoint now);
 
-  // Tokens of the prompt that the endpoint would have to read.
-  double UnreadTokens(const std::string& endpoint, const EngineWork& work,
-                      bool preferred, TimePoint now) const;
-
  private:
   struct Pending {
     std::string endpoint;
@@ -80,15 +76,16 @@
   struct Pace {
     double seconds = 0.03;            // beside the reading
     double seconds_per_token = 5e-5;  // of reading
-    double samples = 0;
   };
-
   // Endpoints of one data centre that failed since one of it last answered.
   struct Failures {
     std::set<std::string> endpoints;
     TimePoint last{};
   };
 
+  // Tokens of the prompt that the endpoint would have to read.
+  double UnreadTokens(const std::string& endpoint, const EngineWork& work,
+                      bool preferred, TimePoint now) const;
   static double Delay(const Endpoint& endpoint, TimePoint now);
   const Pace& PaceOf(const std::string& kind) const;
   void Learn(const Pending& pending, double took);
