--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -38,8 +38,9 @@
 void EndpointDirectory::Remove(const std::string& id, TimePoint now) {
   auto found = entries_.find(id);
   if (found == entries_.end()) return;
-  bool in_doubt = away_ || now - back_at_ < kReturnTime;
-  if (in_doubt && back_at_ != TimePoint{} && !found->second.entry.leaving) {
+  bool was_away = back_at_ != TimePoint{};
+  bool in_doubt = away_ || (was_away && now - back_at_ < kReturnTime);
+  if (in_doubt && !found->second.entry.leaving) {
     found->second.doubtful = true;
     kLog.Info("Endpoint vanished while the list was away.", {{"endpoint", id}});
     return;
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -48,7 +48,7 @@
   double retry_share = 0.6;  // sends beyond a request's first, of requests
   double retry_start = 2;    // saved up by a box that has just started
   double retry_most = 5;     // saved up by a quiet box
-  double weak_answer = 0.6;  // confidence under which a larger model is asked
+  double weak_answer = 0.5;  // confidence under which a larger model is asked
   RolloutOptions rollout;
   HttpConnectionsOptions connections;
 };
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -34,6 +34,8 @@
 constexpr double kLongPrompt = 1000;  // tokens
 // An endpoint that failed is avoided like one that is so much later, fading.
 constexpr double kFailureDelay = 3;  // seconds
+// A delay that has faded to this no longer tells endpoints apart.
+constexpr double kForgottenDelay = 0.01;  // seconds
 // So many endpoints of a data centre failing, and none answering, is a cut
 // rather than their own fault. While it is avoided, a request that finds no
 // place elsewhere still goes there and shows whether it is over.
@@ -199,7 +201,8 @@
     for (auto part = parts.begin(); part != parts.end();) {
       part = now - part->second > kKept ? parts.erase(part) : std::next(part);
     }
-    bool idle = parts.empty() && entry->second.waiting.empty();
+    bool idle = parts.empty() && entry->second.waiting.empty() &&
+                Delay(entry->second, now) < kForgottenDelay;
     entry = idle ? endpoints_.erase(entry) : std::next(entry);
   }
 }
--- /dev/null
+++ b/leverwick/testing/engine_loads_test.cc
@@ -0,0 +1,76 @@
+#include "leverwick/engine_loads.h"
+
+#include <doctest/doctest.h>
+
+namespace leverwick {
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+const Prompt kPrompt = {{"system", 2000}, {"subject", 4000}, {"own", 500}};
+const EngineWork kWork = {"route/model", "model", &kPrompt};
+
+double Wait(const EngineLoads& loads, const std::string& endpoint,
+            TimePoint now, bool preferred = false) {
+  return loads.ExpectedWait(endpoint, kWork, preferred, now).count();
+}
+
+TEST_CASE("a prompt is expected sooner where its parts were read") {
+  EngineLoads loads;
+  loads.Began(loads.Sent("a", kWork, kStart), kStart + milliseconds(20));
+  CHECK(Wait(loads, "a", kStart) < Wait(loads, "b", kStart));
+  // Another model's memory holds none of it.
+  EngineWork other = kWork;
+  other.model = "other";
+  CHECK(loads.ExpectedWait("a", other, false, kStart).count() >
+        Wait(loads, "a", kStart));
+  // Kept parts are not kept for ever.
+  TimePoint later = kStart + std::chrono::seconds(30);
+  CHECK(Wait(loads, "a", later) == doctest::Approx(Wait(loads, "b", later)));
+}
+
+TEST_CASE("where nothing tells, the endpoint that all boxes prefer is taken") {
+  EngineLoads loads;
+  CHECK(Wait(loads, "a", kStart, true) < Wait(loads, "b", kStart, false));
+}
+
+TEST_CASE("requests that wait at an endpoint make it later") {
+  EngineLoads loads;
+  uint64_t ticket = loads.Sent("a", kWork, kStart);
+  double at_once = Wait(loads, "a", kStart);
+  TimePoint later = kStart + std::chrono::seconds(2);
+  double waiting = Wait(loads, "a", later);
+  CHECK(waiting > at_once + 1);
+  loads.Ended(ticket);
+  CHECK(Wait(loads, "a", later) < waiting - 1);
+}
+
+TEST_CASE("a failed endpoint is avoided, also after what is old is forgotten") {
+  EngineLoads loads;
+  loads.Failed(loads.Sent("a", kWork, kStart), "dc1", kStart);
+  loads.Expire(kStart + milliseconds(250));
+  CHECK(Wait(loads, "a", kStart + milliseconds(250)) > 1);
+  TimePoint later = kStart + std::chrono::seconds(20);
+  loads.Expire(later);
+  CHECK(Wait(loads, "a", later) == doctest::Approx(Wait(loads, "b", later)));
+}
+
+TEST_CASE("a data centre of which three endpoints failed is cut off") {
+  EngineLoads loads;
+  auto fail = [&](const std::string& endpoint) {
+    loads.Failed(loads.Sent(endpoint, kWork, kStart), "dc2", kStart);
+  };
+  fail("a");
+  fail("a");
+  fail("b");
+  CHECK(loads.CutOffWait("dc2", kStart).count() == 0);
+  fail("c");
+  CHECK(loads.CutOffWait("dc2", kStart).count() > 0);
+  CHECK(loads.CutOffWait("dc1", kStart).count() == 0);
+  CHECK(loads.CutOffWait("dc2", kStart + std::chrono::seconds(3)).count() == 0);
+  loads.Reached("dc2");
+  CHECK(loads.CutOffWait("dc2", kStart).count() == 0);
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -48,6 +48,7 @@
     reader_.Reset();
     reusable_ = true;
     tcp_->ForgetSent();
+    tcp_->ResumeReading();
     tcp_->Write(std::move(call_->request_));
   }
 
@@ -111,6 +112,9 @@
     bool keep = reusable_ && tcp_->is_open() && tcp_->pending_bytes() == 0;
     Detach();
     usable_until_ = Clock::now() + usable_time_;
+    // The receiver that made the reading pause has all it gets; a connection
+    // at rest must see the server close it.
+    tcp_->ResumeReading();
     if (keep) {
       owner_->Keep(shared_from_this());
     } else {
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -46,7 +46,9 @@
 
   void Write(std::string bytes) { tcp_->Write(std::move(bytes)); }
   size_t pending_bytes() const { return tcp_->pending_bytes(); }
-  bool will_close() const { return close_after_ || server_->draining_; }
+  bool will_close() const {
+    return close_after_ || too_much_held_ || server_->draining_;
+  }
   bool old_caller() const { return old_caller_; }
 
   // Called when the answer is whole.
@@ -54,6 +56,7 @@
     if (exchange_ == nullptr) return;
     Release();
     if (will_close() || too_much_held_) return CloseAfterAnswer();
+    reader_.SetLimits(ReaderLimits(server_->limits_));
     reader_.Reset();
     Rest();
     // Not from inside the handler: a caller's held requests are taken one
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -84,6 +84,8 @@
 
   // Ready for the next message on the connection.
   void Reset();
+  // Limits of messages that begin after the next Reset.
+  void SetLimits(const Limits& limits) { limits_ = limits; }
 
   bool any_read() const;  // a byte of the message was seen
   bool done() const;
@@ -95,7 +97,7 @@
   class Base;
 
   const Kind kind_;
-  const Limits limits_;
+  Limits limits_;
   Observer* const observer_;
   std::unique_ptr<Base> parser_;
   std::string held_;  // bytes of a head that is not whole yet
--- a/net/testing/async_http_test.cc
+++ b/net/testing/async_http_test.cc
@@ -84,6 +84,30 @@
   REQUIRE(RunUntil(&loop, [&] { return connections.idle() == 0; }));
 }
 
+TEST_CASE("a connection whose reading paused is read again when at rest") {
+  io_context loop;
+  RawServer server(
+      &loop, AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  HttpConnections connections(&loop, {});
+  // The receiver pauses the reading with the last bytes of its answer.
+  struct PausingAnswer : public CollectedAnswer {
+    void OnAnswerBody(std::string_view bytes) override {
+      CollectedAnswer::OnAnswerBody(bytes);
+      call->PauseReading();
+    }
+    std::shared_ptr<ClientCall> call;
+  } paused;
+  paused.call = connections.Send(server.address(), kRequest, &paused);
+  REQUIRE(RunUntil(&loop, [&] { return paused.ended(); }));
+  CollectedAnswer next;
+  connections.Send(server.address(), kRequest, &next);
+  REQUIRE(RunUntil(&loop, [&] { return next.ended(); }));
+  CHECK(next.body == "ok");
+  CHECK(connections.opened() == 1);
+  server.connections[0]->tcp->Close();
+  REQUIRE(RunUntil(&loop, [&] { return connections.idle() == 0; }));
+}
+
 TEST_CASE("a close without a byte of an answer is told as sent") {
   io_context loop;
   RawServer server(&loop, AnswerWith("", true));
@@ -224,6 +248,26 @@
   }
 }
 
+TEST_CASE("limits that change hold for the next request of a connection") {
+  io_context loop;
+  TestServer server(&loop, AnswerOk);
+  RawCaller caller(&loop, server.endpoint);
+  caller.tcp->Write("GET /one HTTP/1.1\r\nHost: x\r\n\r\n");
+  auto& got = caller.peer->received;
+  REQUIRE(
+      RunUntil(&loop, [&] { return got.find("/one") != std::string::npos; }));
+  HttpServerLimits small;
+  small.body_bytes = 4;
+  server.server.SetLimits(small);
+  // This request's reader was made ready before the change.
+  caller.tcp->Write("GET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(
+      RunUntil(&loop, [&] { return got.find("/two") != std::string::npos; }));
+  caller.tcp->Write("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n01234");
+  REQUIRE(RunUntil(&loop, [&] { return caller.peer->closed; }));
+  CHECK(got.find("HTTP/1.1 413") != std::string::npos);
+}
+
 TEST_CASE("a caller that never ends its request is told so") {
   io_context loop;
   HttpServerLimits limits;
