Boxes find a reader before they read, and leave an absent store to the readers

Now the list of boxes comes first, a first start waits for the others' entries, and a box that is no reader tries a store that is away every 1.5 to 3 s, asking its reader meanwhile.

--- a/daemon/log_boxes.cc
+++ b/daemon/log_boxes.cc
@@ -1,5 +1,6 @@
-// The list is first read after a pause, so that boxes which start together find
-// each other in it with one read.
+// The list is read before anything else, so that a box which starts among
+// others reads all the rest from one of them. When the whole system starts,
+// each box enters itself first and reads after a pause.
 
 #include "daemon/log_boxes.h"
 
@@ -14,7 +15,7 @@
 const Log kLog("boxes");
 
 // All boxes of a site start within a third of a second.
-constexpr milliseconds kFirstRead{1000};
+constexpr milliseconds kFirstRead{700};
 // A new box is asked by others this late; until then it reads for itself.
 constexpr milliseconds kInterval{10000};
 // The list may be old: who is not there any more is passed over.
@@ -45,7 +46,9 @@
                 this),
       start_(*loop) {}
 
-void LogBoxes::Start() {
+void LogBoxes::Start(bool first_start, std::function<void()> ready) {
+  ready_ = std::move(ready);
+  if (!first_start) return follower_.Start();
   EnterSelf();
   start_.expires_after(kFirstRead);
   start_.async_wait([this](auto error) {
@@ -53,6 +56,13 @@
   });
 }
 
+void LogBoxes::BeReady() {
+  if (!ready_) return;
+  auto ready = std::move(ready_);
+  ready_ = nullptr;
+  ready();
+}
+
 void LogBoxes::Tick(TimePoint now) {
   if (writing_) return;
   auto patience = kDropAfter + std::chrono::duration_cast<nanoseconds>(
@@ -75,6 +85,7 @@
   for (const auto& box : boxes_) boxes.push_back(box.second);
   log_->SetBoxes(boxes);
   if (!entered_) EnterSelf();
+  BeReady();
 }
 
 void LogBoxes::Learn(const KeyedRecord& record) {
--- a/daemon/log_boxes.h
+++ b/daemon/log_boxes.h
@@ -5,13 +5,14 @@
 // that comes back from a freeze or a cut finds that and enters itself anew.
 //
 //   LogBoxes boxes(&loop, &log, self, data_centre, topic);
-//   boxes.Start();
+//   boxes.Start(first_start, [] { other topics may be read now });
 
 #ifndef DAEMON_LOG_BOXES_H_
 #define DAEMON_LOG_BOXES_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <string>
 #include <system_error>
@@ -27,7 +28,9 @@
   LogBoxes(boost::asio::io_context* loop, SharedLog* log, const LogBox& self,
            std::string data_centre, std::string topic);
 
-  void Start();
+  // `ready` is called once, when the other boxes are known or the store does
+  // not answer. On the system's first start boxes are given time to enter.
+  void Start(bool first_start, std::function<void()> ready);
   // Drops entries of boxes that are gone; called a few times a second.
   void Tick(TimePoint now);
 
@@ -39,9 +42,11 @@
   void OnSnapshot(const std::vector<KeyedRecord>& records) override;
   void OnRecord(const KeyedRecord& record) override;
   void OnRead(TimePoint as_of) override;
-  void OnReadFailed(std::error_code) override {}  // the last list stays
+  // The last list stays.
+  void OnReadFailed(std::error_code) override { BeReady(); }
 
   void Learn(const KeyedRecord& record);
+  void BeReady();
   void EnterSelf();
   void Drop(const std::string& name);
 
@@ -52,6 +57,7 @@
   const KeyedRecord own_entry_;
   TopicFollower follower_;
   boost::asio::steady_timer start_;
+  std::function<void()> ready_;
   std::map<std::string, LogBox> boxes_;  // of this data centre, by name
   bool entered_ = false;                 // the topic holds the own entry
   bool writing_ = false;
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -5,6 +5,9 @@
 #include "daemon/shared_log.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
 
 #include "leverwick/result.h"
 #include "net/http_call.h"
@@ -19,10 +22,23 @@
 // milliseconds apart; the rest is for one that is busy.
 constexpr milliseconds kAnswerTime{250};
 // A box that begins to read a topic at the same moment has it by then.
-constexpr milliseconds kSnapshotTime{300};
+constexpr milliseconds kSnapshotTime{500};
+// Boxes that start together do so within a third of a second: one that does not
+// listen yet is asked again until this long after the own start.
+constexpr milliseconds kStartTime{600};
+constexpr milliseconds kStartRetry{60};
 // Opening a connection is part of that.
 constexpr milliseconds kConnectTime{200};
 
+// Boxes that are asked within one read: the reader and whoever stands in for
+// it. What both don't have, the store has, or it is away.
+constexpr int kMostAsks = 2;
+// While the store is away its readers try it a few times a second and pass on
+// that it is back; the others try it as seldom as this, for the case that only
+// the readers are cut off.
+constexpr int kLeastStorePauseMs = 1500;
+constexpr int kMostStorePauseMs = 3000;
+
 HttpConnectionsOptions ConnectionOptions() {
   HttpConnectionsOptions options;
   options.connect_timeout = kConnectTime;
@@ -47,7 +63,9 @@
       self_(std::move(self)),
       readers_(readers),
       metrics_(metrics),
-      connections_(loop, ConnectionOptions()) {}
+      connections_(loop, ConnectionOptions()),
+      started_(Clock::now()),
+      random_(std::random_device{}()) {}
 
 void SharedLog::SetBoxes(const std::vector<LogBox>& boxes) {
   boxes_ = boxes;
@@ -76,26 +94,51 @@
 }
 
 void SharedLog::Read(const LogQuery& query, ReadCallback callback) {
-  auto box = StateOf(query.topic)->sources.Choose(Clock::now());
   auto done = [this, query, callback](std::error_code error, LogPage page) {
     TopicState* state = StateOf(query.topic);
     page.paced = page.paced && page.as_of > state->as_of;
     if (!error) state->as_of = std::max(state->as_of, page.as_of);
     callback(error, std::move(page));
   };
-  if (!box) return store_->Read(query, done);
+  ReadFrom(query, kMostAsks, done);
+}
+
+void SharedLog::ReadFrom(const LogQuery& query, int boxes,
+                         ReadCallback callback) {
+  auto box = StateOf(query.topic)->sources.Choose(Clock::now());
+  if (!box || boxes == 0) return ReadStore(query, std::move(callback));
   LogAsk ask;
   ask.set_from(query.from);
   ask.set_wait_ms(static_cast<uint32_t>(HoldOf(query).count()));
-  auto answered = [this, query, callback, done](std::error_code error,
-                                                LogPage page) {
-    // The box is avoided from now on, so that this comes to the store at last.
-    if (IsForAnother(error)) return Read(query, callback);
-    done(error, std::move(page));
+  auto answered = [this, query, boxes, callback](std::error_code error,
+                                                 LogPage page) {
+    if (IsForAnother(error)) return ReadFrom(query, boxes - 1, callback);
+    callback(error, std::move(page));
   };
   Ask(*box, query, ask, answered);
 }
 
+void SharedLog::ReadStore(const LogQuery& query, ReadCallback callback) {
+  TopicState* state = StateOf(query.topic);
+  if (!state->sources.is_reader() && Clock::now() < state->store_from) {
+    boost::asio::post(*loop_,
+                      [callback] { callback(Result::kUnreachable, {}); });
+    return state->sources.ForgiveStale();
+  }
+  store_->Read(query,
+               [this, state, callback](std::error_code error, LogPage page) {
+                 if (IsForAnother(error)) StoreFailed(state);
+                 callback(error, std::move(page));
+               });
+}
+
+void SharedLog::StoreFailed(TopicState* state) {
+  std::uniform_int_distribution<int> pause(kLeastStorePauseMs,
+                                           kMostStorePauseMs);
+  state->store_from = Clock::now() + milliseconds(pause(random_));
+  state->sources.ForgiveStale();
+}
+
 void SharedLog::Newest(const LogQuery& query, const std::string& after_key,
                        NewestCallback callback) {
   bool is_shared = query.most_age.count() > 0 && after_key.empty();
@@ -130,8 +173,10 @@
   head.target = "/log";
   head.Set("Host", box.address);
   head.Set("Content-Length", std::to_string(body.size()));
-  auto answered = [this, box, query, asked_at = Clock::now(), callback](
+  auto answered = [this, box, query, ask, asked_at = Clock::now(), callback](
                       std::error_code error, int, const std::string& answer) {
+    bool may_be_starting = error && Clock::now() < started_ + kStartTime;
+    if (may_be_starting) return AskAgain(box, query, ask, callback);
     LogPage page;
     if (!error) error = Decode(query, asked_at, answer, &page);
     Judge(box, query, error);
@@ -141,6 +186,15 @@
                   milliseconds(ask.wait_ms()) + kAnswerTime, answered);
 }
 
+void SharedLog::AskAgain(const LogBox& box, const LogQuery& query,
+                         const LogAsk& ask, ReadCallback callback) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(*loop_);
+  timer->expires_after(kStartRetry);
+  timer->async_wait([this, timer, box, query, ask, callback](auto) {
+    Ask(box, query, ask, callback);
+  });
+}
+
 std::error_code SharedLog::Decode(const LogQuery& query, TimePoint asked_at,
                                   const std::string& body,
                                   LogPage* page) const {
@@ -162,7 +216,7 @@
   }
   bool behind = page->end < query.from;
   bool old = Clock::now() - page->as_of > query.most_age;
-  return behind || old ? make_error_code(Result::kStaleRevision)
+  return behind || old ? make_error_code(Result::kStaleTable)
                        : std::error_code();
 }
 
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -1,8 +1,10 @@
 // The store's log, read from another box of the data centre where that will do.
 //
 // Reads go where ReadSources says. A box that does not answer, or whose answer
-// is too old, is passed over at once for the next one and in the end for the
-// store, within the same read. Appends always go to the store.
+// is too old, is passed over at once for the next one and then for the store,
+// within the same read. While the store does not answer either, a box that is
+// no reader leaves most of the attempts to the readers. Appends always go to
+// the store.
 //
 //   SharedLog log(&loop, &store, self, readers, &metrics);
 //   log.SetBoxes(boxes);
@@ -14,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <random>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -50,14 +53,22 @@
   struct TopicState {
     ReadSources sources;
     TimePoint as_of{};  // of the newest answer
+    // No call to the store before this, unless this box is a reader.
+    TimePoint store_from{};
   };
 
   TopicState* StateOf(const std::string& topic);
+  // Asks at most so many boxes before the store.
+  void ReadFrom(const LogQuery& query, int boxes, ReadCallback callback);
+  void ReadStore(const LogQuery& query, ReadCallback callback);
+  void StoreFailed(TopicState* state);
   // How long a box may hold its answer: until what is known here is too old.
   milliseconds HoldOf(const LogQuery& query);
   // Fills in the topic; the callback also gets answers that can't be used.
   void Ask(const LogBox& box, const LogQuery& query, LogAsk ask,
            ReadCallback callback);
+  void AskAgain(const LogBox& box, const LogQuery& query, const LogAsk& ask,
+                ReadCallback callback);
   // What the box answered; an error when it can't be used.
   std::error_code Decode(const LogQuery& query, TimePoint asked_at,
                          const std::string& body, LogPage* page) const;
@@ -71,6 +82,8 @@
   HttpConnections connections_;
   std::vector<LogBox> boxes_;
   std::map<std::string, TopicState> topics_;
+  const TimePoint started_;
+  std::mt19937 random_;
 };
 
 }  // namespace leverwick
--- a/leverwick/read_sources.cc
+++ b/leverwick/read_sources.cc
@@ -60,6 +60,12 @@
   Avoid(&trouble, now);
 }
 
+void ReadSources::ForgiveStale() {
+  for (auto it = troubles_.begin(); it != troubles_.end();) {
+    it = it->second.lost_since ? std::next(it) : troubles_.erase(it);
+  }
+}
+
 void ReadSources::Avoid(Trouble* trouble, TimePoint now) {
   trouble->pause =
       std::clamp(trouble->pause * 2, kShortestPause, kLongestPause);
--- a/leverwick/read_sources.h
+++ b/leverwick/read_sources.h
@@ -43,12 +43,20 @@
   // None: the store.
   std::optional<LogBox> Choose(TimePoint now) const;
 
+  // Whether this box reads the store however many others answer.
+  bool is_reader() const {
+    return static_cast<int>(before_.size()) < readers_;
+  }
+
   void Answered(const std::string& name) { troubles_.erase(name); }
   // The box did not answer.
   void Unreachable(const std::string& name, TimePoint now);
   // The box answered with what is too old or not known there.
   void Stale(const std::string& name, TimePoint now);
 
+  // The store does no better: boxes that were stale may be asked again.
+  void ForgiveStale();
+
   // Boxes that have answered nothing for `span`, however often asked.
   std::vector<std::string> LostFor(nanoseconds span, TimePoint now) const;
 
