--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -32,9 +32,6 @@
   answer.set_kind(LogAnswer::PAGE);
   answer.set_end(page.end);
   answer.set_as_of_us(MicrosecondsAfter(received, page.as_of));
-  if (page.failed_at) {
-    answer.set_failed_us(MicrosecondsAfter(received, *page.failed_at));
-  }
   for (KeyedRecord& record : page.records) {
     LogRecord* sent = answer.add_records();
     sent->set_key(std::move(record.key));
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -206,9 +206,6 @@
   page->next = answer.end();
   page->as_of = MomentAfter(asked_at, answer.as_of_us());
   page->paced = true;
-  if (answer.failed_us() != 0) {
-    page->failed_at = MomentAfter(asked_at, answer.failed_us());
-  }
   for (LogRecord& record : *answer.mutable_records()) {
     KeyedRecord decoded{std::move(*record.mutable_key()), std::nullopt};
     if (!record.dropped()) decoded.value = std::move(*record.mutable_value());
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -20,9 +20,6 @@
 // After so many failures in a row the store is away rather than unlucky, and
 // calls that it refuses are charged too: pauses are twice as long.
 constexpr int kAwayAfter = 4;
-// Another box's failure is passed on as earlier than it was by the time on the
-// way; rather a failure counts twice than not at all.
-constexpr milliseconds kFailureMargin{1000};
 
 }  // namespace
 
@@ -79,7 +76,6 @@
   if (page.more && !snapshot_.empty()) return ReadNewest(snapshot_.back().key);
   next_ = snapshot_end_;
   has_snapshot_ = true;
-  last_page_at_ = Clock::now();
   listener_->OnSnapshot(snapshot_);
   listener_->OnRead(snapshot_as_of_);
   cache_.Replace(snapshot_, snapshot_end_, snapshot_as_of_);
@@ -104,11 +100,6 @@
   if (error) return OnError(error);
   failures_ = 0;
   next_ = page.next;
-  // Another box has missed the store since: what vanished may only have lapsed.
-  bool missed =
-      page.failed_at && *page.failed_at + kFailureMargin > last_page_at_;
-  if (missed) listener_->OnReadFailed(Result::kUnreachable);
-  last_page_at_ = Clock::now();
   for (const KeyedRecord& record : page.records) listener_->OnRecord(record);
   // A read that came with less than there is proves nothing yet.
   if (next_ >= page.end) listener_->OnRead(page.as_of);
@@ -123,7 +114,6 @@
   kLog.Warning("The store did not answer.",
                {{"topic", options_.topic}, {"why", error.message()}});
   ++failures_;
-  cache_.Failed(Clock::now());
   listener_->OnReadFailed(error);
   std::uniform_int_distribution<int> pause(kLeastPauseMs, kMostPauseMs);
   int factor = failures_ >= kAwayAfter ? 2 : 1;
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -74,7 +74,6 @@
   uint64_t snapshot_end_ = 0;          // of the first page
   TimePoint snapshot_as_of_{};
   LogCache cache_;
-  TimePoint last_page_at_{};
   bool has_snapshot_ = false;
   bool running_ = false;
   int failures_ = 0;     // of the last calls, in a row
--- a/leverwick/keyed_log.h
+++ b/leverwick/keyed_log.h
@@ -33,8 +33,6 @@
   uint64_t end = 0;                  // offset of the next record to be written
   // The log had not grown beyond `end` at this moment, by this box's clock.
   TimePoint as_of{};
-  // When the box that passed this on last got no answer from its source.
-  std::optional<TimePoint> failed_at;
   // The source answered when there was news: no pause before the next read.
   bool paced = false;
 };
--- a/leverwick/log_cache.cc
+++ b/leverwick/log_cache.cc
@@ -35,10 +35,6 @@
   for (const KeyedRecord& record : page.records) Put(offset++, record);
   end_ = std::max(end_, page.next);
   if (page.next >= page.end) as_of_ = std::max(as_of_, page.as_of);
-  if (page.failed_at) {
-    failed_at_ =
-        std::max(failed_at_.value_or(*page.failed_at), *page.failed_at);
-  }
   ForgetOldDrops();
   changed_();
 }
@@ -74,7 +70,6 @@
   page->next = end_;
   page->end = end_;
   page->as_of = as_of_;
-  page->failed_at = failed_at_;
   return true;
 }
 
--- a/leverwick/log_cache.h
+++ b/leverwick/log_cache.h
@@ -15,7 +15,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,8 +29,6 @@
                TimePoint as_of);
   // A page that begins where this cache ends, or before.
   void Apply(const LogPage& page);
-  // A read of the topic was not answered.
-  void Failed(TimePoint now) { failed_at_ = now; }
 
   // Called after each change of the records or of what they are proved to be.
   void OnChanged(std::function<void()> callback) {
@@ -59,7 +56,6 @@
   uint64_t whole_from_ = 0;  // no record from here on has been forgotten
   uint64_t end_ = 0;
   TimePoint as_of_{};
-  std::optional<TimePoint> failed_at_;
   bool has_snapshot_ = false;
   std::function<void()> changed_ = [] {};
 };
