--- a/app/leverwickctl.cc
+++ b/app/leverwickctl.cc
@@ -12,9 +12,11 @@
 #include <iostream>
 #include <sstream>
 
+#include "daemon/relay_state.h"
 #include "leverwick/bills.h"
 #include "leverwick/fields.h"
 #include "net/csv.h"
+#include "net/http_client.h"
 #include "net/json.h"
 #include "net/operator_client.h"
 
@@ -39,6 +41,7 @@
   std::string file;
   std::string organisation;
   std::string id;
+  std::string address;
 };
 
 OperatorClient MakeClient(const Options& options) {
@@ -403,6 +406,16 @@
   return 0;
 }
 
+// The state of a relay before a keyed store, from its metrics address.
+int ShowRelay(const Options& options) {
+  HttpClient client(options.address);
+  HttpResult result =
+      client.Call("GET", "/metrics", "", milliseconds(options.timeout_ms));
+  if (result.error) return Fail(result.error, options.address);
+  PrintRelayState(result.body, &std::cout);
+  return 0;
+}
+
 struct Command {
   const char* name;
   const char* help;
@@ -420,6 +433,7 @@
     {"history", "Who changed what when, with verdicts.", &History, true, true},
     {"status", "Which boxes have the table in force.", &Status, false, false},
     {"explain", "How a request was answered.", &Explain, false, false},
+    {"relay", "The state of one relay.", &ShowRelay, false, false},
     {"bills", "The bills in the log, once an id.", &Bills, false, false},
 };
 
@@ -445,6 +459,10 @@
   if (name == "explain") {
     sub->add_option("id", options->id, "Request id.")->required();
   }
+  if (name == "relay") {
+    sub->add_option("address", options->address, "ip:port of its metrics.")
+        ->required();
+  }
   if (name == "bills") {
     sub->add_option("--organisation", options->organisation, "Only its lines.");
   }
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -115,25 +115,6 @@
   return std::chrono::duration_cast<milliseconds>(proof_.AgeAt(Clock::now()));
 }
 
-std::string Relay::MetricsText() {
-  auto version = config_ == nullptr ? 0 : config_->version();
-  metrics_.Set("leverwick_config_version", "", static_cast<double>(version));
-  metrics_.Set("leverwick_proof_age_seconds", "",
-               static_cast<double>(ProofAge().count()) / 1000);
-  metrics_.Set("leverwick_open_requests", "",
-               static_cast<double>(open_.size()));
-  metrics_.Set("leverwick_endpoints", "",
-               static_cast<double>(directory_.size()));
-  metrics_.Set("leverwick_idle_connections", "",
-               static_cast<double>(connections_.idle()));
-  metrics_.Set("leverwick_connections_opened_total", "",
-               static_cast<double>(connections_.opened()));
-  metrics_.Set("leverwick_log_lines_dropped_total", "",
-               static_cast<double>(DroppedLogLines()));
-  metrics_.Set("leverwick_log_request_share", "", sampler_.share());
-  return metrics_.Text();
-}
-
 void Relay::Expire(TimePoint now) {
   directory_.Expire(now);
   loads_.Expire(now);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -13,6 +13,7 @@
 #define DAEMON_RELAY_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -80,6 +81,10 @@
 
   // As text, with the state of this moment.
   std::string MetricsText();
+  // Called before each such text, to set what others know.
+  void OnMetrics(std::function<void()> callback) {
+    state_gauges_ = std::move(callback);
+  }
   Metrics* metrics() { return &metrics_; }
 
  private:
@@ -93,6 +98,11 @@
   // Whether the request may be taken by its key; fills in its holder.
   Result Admit(const ServiceRoute& route, const CallerRequest& request,
                TimePoint now, KeyHolder* holder) const;
+  // A request has ended; `status` is the caller's, 0 when it got none.
+  void CountEnd(const std::string& organisation, const std::string& outcome,
+                int status);
+  // Whether the budget of the service allows one more send.
+  bool TakeRetry(const std::string& service);
   RetryBudget* BudgetOf(const std::string& service);
   milliseconds ProofAge() const;
   // A share from 0 to 1, drawn anew.
@@ -118,6 +128,8 @@
   std::mt19937_64 random_;
   RequestSampler sampler_;
   bool intake_ = true;
+  std::set<std::string> told_organisations_;  // those with own counters
+  std::function<void()> state_gauges_ = [] {};
 };
 
 }  // namespace leverwick
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -239,7 +239,7 @@
   return better != model_ && relay_->cascade_.IsWeak(confidence) &&
          log_.attempts_left() &&
          TimeLeft(Clock::now()) > route_.objective / 4 &&
-         relay_->BudgetOf(service_)->Take();
+         relay_->TakeRetry(service_);
 }
 
 void RelayedRequest::AskLargerModel() {
@@ -270,6 +270,7 @@
     first_event_at_ = Clock::now();
     HttpHead head = try_->head;
     RemoveHopFields(&head);
+    answer_status_ = head.status;
     exchange_->StartStream(std::move(head));
   }
   exchange_->Write(whole);
@@ -328,7 +329,7 @@
   if (TimeLeft(Clock::now()) < kLeastTime) return false;
   bool first_never_left =
       outcome == AttemptOutcome::kNotSent && log_.attempts() <= 1;
-  return first_never_left || relay_->BudgetOf(service_)->Take();
+  return first_never_left || relay_->TakeRetry(service_);
 }
 
 void RelayedRequest::EndTry(AttemptOutcome outcome) {
@@ -365,16 +366,19 @@
 
 void RelayedRequest::PassAnswer(HttpHead head, const std::string& body) {
   RemoveHopFields(&head);
+  answer_status_ = head.status;
   exchange_->Answer(std::move(head), body);
   Finish(kAnswered);
 }
 
 void RelayedRequest::AnswerNotRun(Result result) {
+  answer_status_ = Info(result).http_status;
   relay_->Refuse(exchange_, request_.id, result, kComeBackAfter);
   Finish("not_run");
 }
 
 void RelayedRequest::AnswerOwn(Result result) {
+  answer_status_ = Info(result).http_status;
   relay_->Refuse(exchange_, request_.id, result, {});
   Finish(Info(result).name);
 }
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -135,6 +135,7 @@
   TimePoint first_event_at_{};
   // The last failure an endpoint answered with.
   std::optional<std::pair<HttpHead, std::string>> failure_;
+  int answer_status_ = 0;  // that the caller gets; 0: none yet
   bool finished_ = false;
 };
 
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -57,8 +57,7 @@
 void RelayedRequest::TellEnd(const char* outcome) {
   TimePoint now = Clock::now();
   Seconds took = now - exchange_->received();
-  relay_->metrics_.Add("leverwick_requests_total",
-                       std::string("outcome=\"") + outcome + "\"", 1);
+  relay_->CountEnd(holder_.organisation, outcome, answer_status_);
   relay_->metrics_.Time("leverwick_request_seconds", "", took);
   if (stream_started_) {
     relay_->metrics_.Time("leverwick_first_event_seconds", "",
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -40,6 +40,11 @@
   // Boxes that were asked and have answered nothing for `span`.
   std::vector<std::string> LostFor(nanoseconds span, TimePoint now) const;
 
+  // Whether this box would now read the topic from the store.
+  bool ReadsStore(const std::string& topic) {
+    return !StateOf(topic)->sources.Choose(Clock::now());
+  }
+
   void Read(const LogQuery& query, ReadCallback callback) override;
   void Newest(const LogQuery& query, const std::string& after_key,
               NewestCallback callback) override;
--- a/leverwick/retry_budget.h
+++ b/leverwick/retry_budget.h
@@ -29,6 +29,12 @@
     level_ = std::min(most_, level_ + share_);
   }
 
+  // Retries that are allowed now.
+  double level() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return level_;
+  }
+
   bool Take() {
     std::lock_guard<std::mutex> lock(mutex_);
     if (level_ < 1) return false;
@@ -43,7 +49,7 @@
 
   const double share_;
   const double most_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   double level_;
 };
 
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -117,6 +117,14 @@
   return found == rollouts_.end() ? "" : found->second.target;
 }
 
+std::vector<RolloutRecord> ServiceRollouts::records() const {
+  std::vector<RolloutRecord> records;
+  for (const auto& entry : rollouts_) {
+    records.push_back({entry.first, entry.second.target, entry.second.step});
+  }
+  return records;
+}
+
 nanoseconds ServiceRollouts::DurationOf(const std::string& service) const {
   auto found = rollouts_.find(service);
   return found == rollouts_.end() ? nanoseconds(0) : found->second.duration;
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -99,6 +99,8 @@
 
   // The version that an order names; empty when there is no order.
   std::string TargetOf(const std::string& service) const;
+  // How far each roll-out has come, ended ones too.
+  std::vector<RolloutRecord> records() const;
   // Within which the target is to be in use; zero when none is ordered.
   nanoseconds DurationOf(const std::string& service) const;
   // Whether the order is still being carried out, as far as this box knows.
