--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -73,17 +73,25 @@
 
 void LogServer::Hold(const std::shared_ptr<ServerExchange>& exchange,
                      const LogAsk& ask) {
-  held_.push_back({exchange, ask, boost::asio::steady_timer(*loop_)});
-  auto held = std::prev(held_.end());
+  std::shared_ptr<HeldAsk> held(
+      new HeldAsk{exchange, ask, boost::asio::steady_timer(*loop_)});
+  held_.push_back(held);
   held->timer.expires_after(
       std::min(milliseconds(ask.wait_ms()), kLongestHold));
+  // Its time may have run out before news came and be told only afterwards.
   held->timer.async_wait([this, held](auto error) {
-    if (error) return;
-    Answer(held->exchange.get(), held->ask);
-    held_.erase(held);
+    if (error || held->answered) return;
+    held_.remove(held);
+    AnswerHeld(held.get());
   });
 }
 
+void LogServer::AnswerHeld(HeldAsk* held) {
+  held->answered = true;
+  held->timer.cancel();
+  Answer(held->exchange.get(), held->ask);
+}
+
 void LogServer::Answer(ServerExchange* exchange, const LogAsk& ask) {
   LogAnswer answer;
   auto cache = caches_.find(ask.topic());
@@ -96,14 +104,14 @@
 }
 
 void LogServer::Changed(const std::string& topic) {
+  std::list<std::shared_ptr<HeldAsk>> due;
   for (auto it = held_.begin(); it != held_.end();) {
-    if (it->ask.topic() != topic) {
-      ++it;
-      continue;
-    }
-    Answer(it->exchange.get(), it->ask);
-    it = held_.erase(it);
+    auto next = std::next(it);
+    bool is_due = (*it)->ask.topic() == topic;
+    if (is_due) due.splice(due.end(), held_, it);
+    it = next;
   }
+  for (const auto& held : due) AnswerHeld(held.get());
 }
 
 }  // namespace leverwick
--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -41,17 +41,19 @@
     std::shared_ptr<ServerExchange> exchange;
     LogAsk ask;
     boost::asio::steady_timer timer;
+    bool answered = false;
   };
 
   void Handle(const std::shared_ptr<ServerExchange>& exchange);
   void Hold(const std::shared_ptr<ServerExchange>& exchange, const LogAsk& ask);
   void Answer(ServerExchange* exchange, const LogAsk& ask);
+  void AnswerHeld(HeldAsk* held);
   void Changed(const std::string& topic);
 
   boost::asio::io_context* const loop_;
   AsyncHttpServer server_;
   std::map<std::string, LogCache*> caches_;  // by topic
-  std::list<HeldAsk> held_;
+  std::list<std::shared_ptr<HeldAsk>> held_;
 };
 
 }  // namespace leverwick
--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -8,12 +8,14 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "daemon/log_boxes.h"
 #include "daemon/log_server.h"
 #include "daemon/topic_follower.h"
 #include "leverwick/result.h"
+#include "net/testing/collected_answer.h"
 #include "net/testing/free_port.h"
 #include "net/testing/raw_peer.h"
 #include "net/testing/test_loop.h"
@@ -273,6 +275,40 @@
   CHECK(pair.second.told.events == std::vector<std::string>{"k=1", "k=-"});
 }
 
+TEST_CASE("an ask whose time is up just as news comes is answered once") {
+  boost::asio::io_context loop;
+  LogCache cache;
+  cache.Replace({}, 1, Clock::now());
+  LogServer server(&loop);
+  server.Share(kTopic, &cache);
+  auto endpoint = FreePort(&loop);
+  REQUIRE_FALSE(server.Listen(endpoint));
+  HttpConnections connections(&loop, {});
+  LogAsk ask;
+  ask.set_topic(kTopic);
+  ask.set_from(1);
+  ask.set_wait_ms(30);
+  std::string body = ask.SerializeAsString();
+  std::string text = "POST /log HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body;
+  for (int round = 0; round < 20; ++round) {
+    CollectedAnswer answer;
+    connections.Send(AddressOf(endpoint), text, &answer);
+    REQUIRE(RunUntil(&loop, [&] { return server.held_asks() == 1; }));
+    // The box is held up until the time is over; the news is already waiting.
+    LogPage news;
+    news.next = news.end = 1;
+    news.as_of = Clock::now();
+    boost::asio::post(loop, [&] {
+      std::this_thread::sleep_for(milliseconds(40));
+      boost::asio::post(loop, [&] { cache.Apply(news); });
+    });
+    REQUIRE(RunUntil(&loop, [&] { return answer.ended(); }));
+    CHECK(answer.whole);
+    CHECK(server.held_asks() == 0);
+  }
+}
+
 // Boxes that do not keep to the protocol, or to time.
 class OddReader {
  public:
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -123,8 +123,8 @@
 void TopicFollower::After(milliseconds pause) {
   if (!running_) return;
   timer_.expires_after(pause);
-  timer_.async_wait([this](auto error) {
-    if (error || !running_) return;
+  timer_.async_wait([this, start = starts_](auto error) {
+    if (error || !running_ || start != starts_) return;
     if (has_snapshot_) {
       ReadLog();
     } else {
