--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -91,7 +91,9 @@
   void SetTimer(milliseconds limit) {
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](auto error) {
-      if (!error) self->OnTimer();
+      // Set anew after it ran out and before it was told: not due any more.
+      bool is_due = !error && self->timer_.expiry() <= Clock::now();
+      if (is_due) self->OnTimer();
     });
   }
 
