A topic that was left is not passed on from the past; scenario links have a name of their own

A reader that had stopped following a topic (a roll-out's) answered with what it knew from the last time; askers took it for stale and went to the store. Red before: two calls, not none. scenario/relay became tcp_link: the daemon's relay is another thing.

--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -258,6 +258,24 @@
   CHECK(Clock::now() - gone_at < kMostAge);
 }
 
+TEST_CASE("a topic that is read again is passed on as it is now") {
+  Pair pair;
+  pair.reader->follower.Stop();
+  pair.second.follower.Stop();
+  RunUntil(
+      &pair.loop, [] { return false; }, 2 * kMostAge);
+  pair.Put("k", "new");
+  int before = pair.other_way.calls;
+  pair.second.follower.Start();
+  // The reader follows the topic again a moment later.
+  RunUntil(
+      &pair.loop, [] { return false; }, milliseconds(100));
+  pair.reader->follower.Start();
+  REQUIRE(RunUntil(&pair.loop,
+                   [&] { return pair.second.told.state["k"] == "new"; }));
+  CHECK(pair.other_way.calls == before);
+}
+
 // Only what a box itself could not read is doubtful: else an endpoint that has
 // left would be used for seconds since one other box was cut off.
 TEST_CASE("what a reader has missed is no doubt at those who read from it") {
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -41,6 +41,7 @@
 
 void TopicFollower::Stop() {
   running_ = false;
+  cache_.Forget();
   timer_.cancel();
 }
 
--- a/leverwick/log_cache.h
+++ b/leverwick/log_cache.h
@@ -27,6 +27,8 @@
   // The newest record of every key, in a log that ends at `end`.
   void Replace(const std::vector<KeyedRecord>& records, uint64_t end,
                TimePoint as_of);
+  // What is here is too old to be passed on: no snapshot until the next one.
+  void Forget() { has_snapshot_ = false; }
   // A page that begins where this cache ends, or before.
   void Apply(const LogPage& page);
 
--- a/leverwick/read_sources.h
+++ b/leverwick/read_sources.h
@@ -44,9 +44,7 @@
   std::optional<LogBox> Choose(TimePoint now) const;
 
   // Whether this box reads the store however many others answer.
-  bool is_reader() const {
-    return static_cast<int>(before_.size()) < readers_;
-  }
+  bool is_reader() const { return static_cast<int>(before_.size()) < readers_; }
 
   void Answered(const std::string& name) { troubles_.erase(name); }
   // The box did not answer.
--- a/scenario/relay.cc
+++ b/scenario/tcp_link.cc
@@ -2,7 +2,7 @@
 // nothing, so the bytes stay in the sender's and our buffers, and it drops the
 // connection when the cut ends: what was sent during a cut never arrives.
 
-#include "scenario/relay.h"
+#include "scenario/tcp_link.h"
 
 #include <arpa/inet.h>
 #include <dirent.h>
@@ -131,7 +131,7 @@
   return 0;
 }
 
-Relay::Relay(int port, int target_port, NameOf name_of, IsOpen is_open)
+TcpLink::TcpLink(int port, int target_port, NameOf name_of, IsOpen is_open)
     : target_port_(target_port),
       name_of_(std::move(name_of)),
       is_open_(std::move(is_open)),
@@ -139,14 +139,14 @@
   acceptor_ = std::thread([this] { Accept(); });
 }
 
-Relay::~Relay() {
+TcpLink::~TcpLink() {
   stopped_ = true;
   acceptor_.join();
   for (std::thread& pump : pumps_) pump.join();
   close(listener_);
 }
 
-void Relay::Accept() {
+void TcpLink::Accept() {
   while (!stopped_) {
     pollfd waiting{listener_, POLLIN, 0};
     if (poll(&waiting, 1, kPollMs) <= 0) continue;
@@ -163,7 +163,7 @@
   }
 }
 
-void Relay::Pump(int client, const std::string& from) {
+void TcpLink::Pump(int client, const std::string& from) {
   int target = -1;
   bool was_cut = false;
   while (!stopped_) {
--- a/scenario/relay.h
+++ b/scenario/tcp_link.h
@@ -1,11 +1,11 @@
-// A TCP relay on a link under test, so that a scenario can cut it.
+// A TCP connection through a link under test, so that a scenario can cut it.
 //
-// The relay knows which process connects, by asking the kernel for the socket,
+// The link knows which process connects, by asking the kernel for the socket,
 // and can so cut one direction between two processes. A cut is silent, as a
 // real one is: connections stay open and nothing passes.
 
-#ifndef SCENARIO_RELAY_H_
-#define SCENARIO_RELAY_H_
+#ifndef SCENARIO_TCP_LINK_H_
+#define SCENARIO_TCP_LINK_H_
 
 #include <atomic>
 #include <functional>
@@ -17,15 +17,15 @@
 
 namespace leverwick {
 
-class Relay {
+class TcpLink {
  public:
   // Names the process with a pid; "" when it is none of ours.
   using NameOf = std::function<std::string(int client_port)>;
-  // Whether `from` may reach this relay's target now.
+  // Whether `from` may reach this link's target now.
   using IsOpen = std::function<bool(const std::string& from)>;
 
-  Relay(int port, int target_port, NameOf name_of, IsOpen is_open);
-  ~Relay();
+  TcpLink(int port, int target_port, NameOf name_of, IsOpen is_open);
+  ~TcpLink();
 
  private:
   void Accept();
@@ -47,4 +47,4 @@
 
 }  // namespace leverwick
 
-#endif  // SCENARIO_RELAY_H_
+#endif  // SCENARIO_TCP_LINK_H_
--- a/scenario/world.cc
+++ b/scenario/world.cc
@@ -43,7 +43,7 @@
     Part& part = parts_[box_names_.back()];
     part.port = NextPort();
     part.control_port = NextPort();
-    part.relay_port = NextPort();
+    part.link_port = NextPort();
   }
   for (const auto& box : scenario_["boxes"]) {
     AddBox(box.first.as<std::string>(), box.second.as<std::string>());
@@ -54,12 +54,12 @@
 
 World::~World() {
   for (auto& part : parts_) part.second.process.reset();
-  for (auto& part : parts_) part.second.relay.reset();
+  for (auto& part : parts_) part.second.link.reset();
 }
 
-void World::AddRelay(const std::string& name, int target_port) {
-  parts_[name].relay = std::make_unique<Relay>(
-      parts_[name].relay_port, target_port,
+void World::AddLink(const std::string& name, int target_port) {
+  parts_[name].link = std::make_unique<TcpLink>(
+      parts_[name].link_port, target_port,
       [this, name](int port) { return NameOfConnection(port, name); },
       [this, name](const std::string& from) { return IsOpen(from, name); });
 }
@@ -67,14 +67,14 @@
 void World::AddPlatform(const YAML::Node& node) {
   Part& part = parts_[kPlatform];
   part.port = NextPort();
-  part.relay_port = NextPort();
+  part.link_port = NextPort();
   part.command = {options_.binaries + "/standin-platform", "--address",
                   LoopbackAddress(part.port)};
   for (const auto& option : node) {
     part.command.push_back(Flag(option.first.as<std::string>()));
     part.command.push_back(option.second.as<std::string>());
   }
-  AddRelay(kPlatform, part.port);
+  AddLink(kPlatform, part.port);
 }
 
 void World::AddEngine(const YAML::Node& node) {
@@ -100,13 +100,13 @@
   settings["box"]["data_centre"] = data_centre;
   settings["listen"]["callers"] = LoopbackAddress(part.port);
   settings["listen"]["control"] = LoopbackAddress(part.control_port);
-  settings["listen"]["advertised_control"] = LoopbackAddress(part.relay_port);
+  settings["listen"]["advertised_control"] = LoopbackAddress(part.link_port);
   settings["platform"]["address"] =
-      LoopbackAddress(parts_[kPlatform].relay_port);
+      LoopbackAddress(parts_[kPlatform].link_port);
   for (const std::string& box : box_names_) {
     if (box == name) continue;
     settings["peers"]["seeds"].push_back(
-        LoopbackAddress(parts_[box].relay_port));
+        LoopbackAddress(parts_[box].link_port));
   }
   std::string file = options_.folder + "/" + name + ".yaml";
   std::ofstream(file) << settings << "\n";
@@ -117,7 +117,7 @@
   Part& part = parts_[name];
   part.command = {options_.binaries + "/leverwickd", "--config",
                   WriteSettings(name, data_centre)};
-  AddRelay(name, part.control_port);
+  AddLink(name, part.control_port);
 }
 
 bool World::Start() {
@@ -180,7 +180,7 @@
       pids.push_back(part.second.process->pid());
     }
   }
-  int pid = ProcessOfPort(client_port, parts_.at(to).relay_port, pids);
+  int pid = ProcessOfPort(client_port, parts_.at(to).link_port, pids);
   for (auto& part : parts_) {
     if (part.second.process != nullptr && part.second.process->pid() == pid) {
       return part.first;
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -1,6 +1,6 @@
 // The processes and links of one scenario: platform, engines, boxes.
 //
-// Every link between boxes and to the platform runs through a relay, so that
+// Every link between boxes and to the platform runs through a link, so that
 // it can be cut, one way too.
 
 #ifndef SCENARIO_WORLD_H_
@@ -18,7 +18,7 @@
 
 #include "net/operator_client.h"
 #include "scenario/process.h"
-#include "scenario/relay.h"
+#include "scenario/tcp_link.h"
 
 namespace leverwick {
 
@@ -73,15 +73,15 @@
     std::unique_ptr<Process> process;
     int port = 0;          // platform, engine: its own; box: callers
     int control_port = 0;  // box: its own control server
-    int relay_port = 0;    // where others reach it
-    std::unique_ptr<Relay> relay;
+    int link_port = 0;     // where others reach it
+    std::unique_ptr<TcpLink> link;
   };
 
   int NextPort() { return next_port_++; }
   void AddPlatform(const YAML::Node& node);
   void AddEngine(const YAML::Node& node);
   void AddBox(const std::string& name, const std::string& data_centre);
-  void AddRelay(const std::string& name, int target_port);
+  void AddLink(const std::string& name, int target_port);
   std::string NameOfConnection(int client_port, const std::string& to);
   bool IsOpen(const std::string& from, const std::string& to);
   std::string WriteSettings(const std::string& name,
