Known keys serve while the store is away, where withdrawal is lenient

table.strict_withdrawal chooses the policy (leverwick/key_trust.h). A lenient box serves keys and routes that it knows and answers unknown ones with 503 and a time to come back. Strict boxes behave as before. The test of a lenient box beside a strict one fails with the policy forced strict.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -30,6 +30,7 @@
       options_(options),
       directory_(&pool_),
       proof_(options.proof_age),
+      key_trust_(KeyTrustOf(options.strict_withdrawal)),
       rollouts_(options.rollout),
       estimates_(options.life),
       guard_(options.life, kTripThreshold),
@@ -57,11 +58,10 @@
 Result Relay::Admit(const ServiceRoute& route, const CallerRequest& request,
                     TimePoint now, KeyHolder* holder) const {
   if (!route.needs_key || !config_->has_keys()) return Result::kOk;
-  if (!proof_.HoldsAt(now)) return Result::kStaleTable;
-  const KeyHolder* found = config_->FindKey(request.key);
-  if (request.key.empty() || found == nullptr) return Result::kBadKey;
-  *holder = *found;
-  return Result::kOk;
+  const KeyHolder* found =
+      request.key.empty() ? nullptr : config_->FindKey(request.key);
+  if (found != nullptr) *holder = *found;
+  return AdmitKey(key_trust_, found != nullptr, proof_.HoldsAt(now));
 }
 
 void Relay::Handle(const std::shared_ptr<ServerExchange>& exchange) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -1,8 +1,7 @@
 // Takes callers' requests, finds an endpoint for each and passes answers back.
 //
 // The same relay serves whatever interface a Dialect reads: it routes by the
-// ServiceConfig in force, refuses keyed work without a proof that the
-// configuration is current, and hands each request to a RelayedRequest, which
+// ServiceConfig in force, admits keyed work by its KeyTrust, and hands each request to a RelayedRequest, which
 // carries it to its end. One thread runs it all.
 //
 //   Relay relay(&loop, &dialect, options);
@@ -28,6 +27,7 @@
 #include "leverwick/engine_loads.h"
 #include "leverwick/estimates.h"
 #include "leverwick/guard.h"
+#include "leverwick/key_trust.h"
 #include "leverwick/model_cascade.h"
 #include "leverwick/read_proof.h"
 #include "leverwick/request_sampler.h"
@@ -45,7 +45,9 @@
 struct RelayOptions {
   std::string life;          // names this box's life in sums and logs
   std::string data_centre;   // of this box
-  nanoseconds proof_age{0};  // oldest proof that keyed work is taken on
+  nanoseconds proof_age{0};  // oldest proof of the configuration in force
+  // Whether keyed work is refused without a proof (leverwick/key_trust.h).
+  bool strict_withdrawal = true;
   double retry_share = 0.6;  // sends beyond a request's first, of requests
   double retry_start = 2;    // saved up by a box that has just started
   double retry_most = 5;     // saved up by a quiet box
@@ -115,6 +117,7 @@
   EndpointPool pool_;
   EndpointDirectory directory_;
   ReadProof proof_;
+  const KeyTrust& key_trust_;
   ServiceRollouts rollouts_;
   Estimates estimates_;
   Guard guard_;
--- a/leverwick/testing/relay_decisions_test.cc
+++ b/leverwick/testing/relay_decisions_test.cc
@@ -6,6 +6,7 @@
 
 #include "leverwick/attempts.h"
 #include "leverwick/event_stream.h"
+#include "leverwick/key_trust.h"
 #include "leverwick/model_cascade.h"
 #include "leverwick/read_proof.h"
 #include "leverwick/retry_budget.h"
@@ -163,5 +164,18 @@
   CHECK(cascade.First(route, &service, 0.5) == 0);
 }
 
+TEST_CASE("without a proof known keys serve only where withdrawal is lenient") {
+  const KeyTrust& strict = KeyTrustOf(true);
+  const KeyTrust& lenient = KeyTrustOf(false);
+  for (const KeyTrust* trust : {&strict, &lenient}) {
+    CHECK(AdmitKey(*trust, true, true) == Result::kOk);
+    CHECK(AdmitKey(*trust, false, true) == Result::kBadKey);
+    // An unknown key may be newer than what the box knows.
+    CHECK(AdmitKey(*trust, false, false) == Result::kStaleTable);
+  }
+  CHECK(AdmitKey(strict, true, false) == Result::kStaleTable);
+  CHECK(AdmitKey(lenient, true, false) == Result::kOk);
+}
+
 }  // namespace
 }  // namespace leverwick
