Bytes to other data centres weigh in the choice of an endpoint

An endpoint in another data centre costs, in waiting, 30 s for each megabyte that would be sent (requests.far_megabyte, leverwick/far_cost.h). Large requests stay where an endpoint near by is not that much busier.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -36,6 +36,7 @@
       guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
+      far_cost_(options.far_megabyte),
       connections_(loop, options.connections),
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {}
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -27,6 +27,7 @@
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/estimates.h"
+#include "leverwick/far_cost.h"
 #include "leverwick/guard.h"
 #include "leverwick/key_trust.h"
 #include "leverwick/model_cascade.h"
@@ -49,9 +50,10 @@
   nanoseconds proof_age{0};  // oldest proof of the configuration in force
   // Whether keyed work is refused without a proof (leverwick/key_trust.h).
   bool strict_withdrawal = true;
-  double retry_share = 0.6;  // sends beyond a request's first, of requests
-  double retry_start = 2;    // saved up by a box that has just started
-  double retry_most = 5;     // saved up by a quiet box
+  double retry_share = 0.6;     // sends beyond a request's first, of requests
+  double retry_start = 2;       // saved up by a box that has just started
+  double retry_most = 5;        // saved up by a quiet box
+  nanoseconds far_megabyte{0};  // weight of bytes to other data centres
   double weak_answer = 0.5;  // confidence under which a larger model is asked
   RolloutOptions rollout;
   HttpConnectionsOptions connections;
@@ -126,6 +128,7 @@
   VersionWatch watch_;
   ModelCascade cascade_;
   EngineLoads loads_;
+  const FarCost far_cost_;
   HttpConnections connections_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -26,9 +26,6 @@
 // When to come back if every endpoint was full or none could be reached: the
 // pool drains some requests in this time.
 constexpr milliseconds kComeBackAfter{250};
-// What sending to another data centre costs: its way there and back, and the
-// bytes between data centres.
-constexpr Seconds kFarCost{0.005};
 
 // An answer that promises the request was not run, by its status alone.
 bool PromisesNotRun(int status) {
@@ -159,7 +156,7 @@
   bool far = endpoint.data_centre != relay_->options_.data_centre;
   return loads.ExpectedWait(endpoint.address, work, preferred, now) +
          loads.CutOffWait(endpoint.data_centre, now) +
-         (far ? kFarCost : Seconds(0));
+         (far ? relay_->far_cost_.Of(exchange_->body().size()) : Seconds(0));
 }
 
 void RelayedRequest::Dispatch() {
--- a/leverwick/testing/engine_loads_test.cc
+++ b/leverwick/testing/engine_loads_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "leverwick/far_cost.h"
+
 namespace leverwick {
 namespace {
 
@@ -72,6 +74,14 @@
   CHECK(loads.ReadingOf(ticket).count() > 2);
 }
 
+TEST_CASE("the weight of another data centre grows with what is sent there") {
+  FarCost cost(std::chrono::seconds(30));
+  CHECK(cost.Of(0) == kFarTrip);
+  CHECK((cost.Of(1000000) - kFarTrip).count() == doctest::Approx(30));
+  CHECK((cost.Of(17000) - kFarTrip).count() == doctest::Approx(0.51));
+  CHECK(FarCost(nanoseconds(0)).Of(1000000) == kFarTrip);
+}
+
 TEST_CASE("a failed endpoint is avoided, also after what is old is forgotten") {
   EngineLoads loads;
   loads.Failed(loads.Sent("a", kWork, kStart), "dc1", kStart);
