The choice of an endpoint is a decision of its own, tested without sockets

Cause: which endpoint a try goes to was spread over four methods of RelayedRequest, which could be tested only with sockets.

leverwick/endpoint_choice holds it, with a test against every other endpoint over 200 random sites. A request without a prompt is no longer told to other boxes: its end was sent though nobody had heard of it.

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -24,10 +24,10 @@
 #include "daemon/dialect.h"
 #include "daemon/endpoint_directory.h"
 #include "daemon/version_watch.h"
+#include "leverwick/endpoint_choice.h"
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/estimates.h"
-#include "leverwick/far_cost.h"
 #include "leverwick/guard.h"
 #include "leverwick/key_trust.h"
 #include "leverwick/model_cascade.h"
@@ -128,7 +128,7 @@
   VersionWatch watch_;
   ModelCascade cascade_;
   EngineLoads loads_;
-  const FarCost far_cost_;
+  const EndpointChoice choice_;
   HttpConnections connections_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -114,49 +114,15 @@
   if (failed_on_target_) side_ = Side::kBaseline;
   // A target that was found bad meanwhile gets nothing more.
   if (!relay_->rollouts_.MayUseTarget(service_)) side_ = Side::kBaseline;
-  std::string endpoint = PickFrom(tried_);
-  // With few endpoints, one that was tried before may be tried again.
-  if (endpoint.empty() && tried_.size() > 1) endpoint = PickFrom({last_tried_});
-  return endpoint;
-}
-
-std::string RelayedRequest::PickFrom(const std::set<std::string>& excluded) {
-  std::string endpoint = PickOn(side_, excluded);
-  // A version without endpoints of its own leaves its requests to the other,
-  // but nothing new goes to a target that is bad.
-  bool may_cross = relay_->rollouts_.MayUseTarget(service_);
-  if (endpoint.empty() && may_cross) {
-    endpoint = PickOn(ServiceRollouts::Side::kAny, excluded);
-  }
-  return endpoint;
-}
-
-std::string RelayedRequest::PickOn(ServiceRollouts::Side side,
-                                   const std::set<std::string>& excluded) {
-  using Side = ServiceRollouts::Side;
-  std::string target = relay_->rollouts_.TargetOf(service_);
-  TimePoint now = Clock::now();
-  EngineWork work = Work();
-  auto allowed = [&](const ListedEndpoint& endpoint) {
-    return side == Side::kAny ||
-           (endpoint.version == target) == (side == Side::kTarget);
-  };
-  auto cost = [&](const ListedEndpoint& endpoint, bool preferred) {
-    return ExpectedWait(endpoint, work, preferred, now).count();
-  };
-  return relay_->pool_
-      .PickCheapest(service_, Affinity(), excluded, now, allowed, cost)
-      .address;
-}
-
-Seconds RelayedRequest::ExpectedWait(const ListedEndpoint& endpoint,
-                                     const EngineWork& work, bool preferred,
-                                     TimePoint now) const {
-  const EngineLoads& loads = relay_->loads_;
-  bool far = endpoint.data_centre != relay_->options_.data_centre;
-  return loads.ExpectedWait(endpoint.address, work, preferred, now) +
-         loads.CutOffWait(endpoint.data_centre, now) +
-         (far ? relay_->far_cost_.Of(exchange_->body().size()) : Seconds(0));
+  WantedEndpoint wanted;
+  wanted.service = service_;
+  wanted.side = side_;
+  wanted.affinity = Affinity();
+  wanted.work = Work();
+  wanted.body_bytes = exchange_->body().size();
+  wanted.tried = tried_;
+  wanted.last_tried = last_tried_;
+  return relay_->choice_.Choose(wanted, Clock::now());
 }
 
 void RelayedRequest::Dispatch() {
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -56,11 +56,6 @@
   // Sending.
   void Dispatch();
   std::string ChooseEndpoint();
-  std::string PickFrom(const std::set<std::string>& excluded);
-  std::string PickOn(ServiceRollouts::Side side,
-                     const std::set<std::string>& excluded);
-  Seconds ExpectedWait(const ListedEndpoint& endpoint, const EngineWork& work,
-                       bool preferred, TimePoint now) const;
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
   // Requests with the same value are best sent to the same endpoint.
--- a/daemon/testing/load_exchange_test.cc
+++ b/daemon/testing/load_exchange_test.cc
@@ -61,6 +61,23 @@
   CHECK(second.WaitAt("a", kWork) < second.WaitAt("b", kWork));
 }
 
+TEST_CASE("a request without a prompt is nobody else's business") {
+  boost::asio::io_context loop;
+  Box first(&loop, "dc1", 0);
+  Box second(&loop, "dc1", 0);
+  first.exchange.SetBoxes({second.entry});
+  EngineWork call;
+  call.kind = "route";
+  first.loads.Ended(first.loads.Sent("a", call, Clock::now()));
+  double idle = second.WaitAt("a", kOtherWork);
+  first.loads.Sent("a", kWork, Clock::now());
+  REQUIRE(RunUntil(
+      &loop, [&] { return second.WaitAt("a", kOtherWork) > idle + 0.01; }));
+  // One datagram: a note of the call would have gone before the prompt's.
+  CHECK(second.metrics.Text().find("result=\"heard\"} 1\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("boxes of other data centres are told only where they are few") {
   boost::asio::io_context loop;
   Box first(&loop, "dc1", 1);
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -147,7 +147,9 @@
   }
   // No other box's prompt has the last part, which is the request's own.
   if (!sent.parts.empty()) sent.parts.pop_back();
-  if (observer_ != nullptr) observer_->OnSent(sent);
+  if (observer_ == nullptr) return;
+  pending_.at(ticket).told = true;
+  observer_->OnSent(sent);
 }
 
 void EngineLoads::PeerSent(const SentPrompt& prompt, TimePoint now) {
@@ -194,7 +196,8 @@
   if (found == pending_.end()) return;
   Endpoint& endpoint = endpoints_[found->second.endpoint];
   endpoint.reading = std::max(0.0, endpoint.reading - found->second.reading);
-  if (observer_ != nullptr) observer_->OnRead(ticket);
+  bool told = found->second.told && observer_ != nullptr;
+  if (told) observer_->OnRead(ticket);
   endpoint.waiting.erase(ticket);
   pending_.erase(found);
 }
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -86,6 +86,7 @@
     double expected = 0;  // seconds until the answer begins
     double reading = 0;   // seconds of those spent on reading
     TimePoint sent{};
+    bool told = false;  // to the observer
   };
   struct Endpoint {
     // When each part was last sent here, by model and part.
--- /dev/null
+++ b/leverwick/testing/endpoint_choice_test.cc
@@ -0,0 +1,104 @@
+#include "leverwick/endpoint_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <vector>
+
+namespace leverwick {
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+ListedEndpoint Listed(const std::string& id, const std::string& data_centre) {
+  ListedEndpoint endpoint;
+  endpoint.address = id;
+  endpoint.target = "service";
+  endpoint.data_centre = data_centre;
+  endpoint.version = "v1";
+  endpoint.places = 8;
+  return endpoint;
+}
+
+struct Site {
+  EndpointPool pool;
+  ServiceRollouts rollouts{RolloutOptions()};
+  EngineLoads loads;
+  EndpointChoice choice{&pool, &rollouts, &loads,
+                        FarCost(std::chrono::seconds(30)), "dc1"};
+};
+
+WantedEndpoint Wanted(const Prompt* prompt, size_t body_bytes) {
+  WantedEndpoint wanted;
+  wanted.service = "service";
+  wanted.work = {"route/model", "model", prompt};
+  wanted.body_bytes = body_bytes;
+  return wanted;
+}
+
+TEST_CASE("the choice is never dearer than any other endpoint") {
+  std::mt19937 random(5);
+  for (int round = 0; round < 200; ++round) {
+    Site site;
+    std::vector<ListedEndpoint> endpoints;
+    for (unsigned i = 0; i < 2 + random() % 6; ++i) {
+      std::string data_centre = random() % 2 ? "dc1" : "dc2";
+      endpoints.push_back(Listed("e" + std::to_string(i), data_centre));
+    }
+    site.pool.SetListed(endpoints, kStart);
+    // Some prompts are being read, and their parts are kept.
+    std::vector<Prompt> prompts;
+    for (int i = 0; i < 4; ++i) {
+      prompts.push_back({{"s" + std::to_string(i), 3000}, {"own", 300}});
+    }
+    for (int i = 0; i < 6; ++i) {
+      const Prompt& prompt = prompts[random() % prompts.size()];
+      site.loads.Sent(endpoints[random() % endpoints.size()].address,
+                      {"route/model", "model", &prompt}, kStart);
+    }
+    WantedEndpoint wanted =
+        Wanted(&prompts[random() % prompts.size()], random() % 20000);
+    wanted.affinity = random();
+    std::string chosen = site.choice.Choose(wanted, kStart);
+    for (const ListedEndpoint& endpoint : endpoints) {
+      if (endpoint.address != chosen) continue;
+      // At best the chosen one was the preferred one.
+      Seconds cost = site.choice.CostAt(endpoint, wanted, true, kStart);
+      for (const ListedEndpoint& other : endpoints) {
+        CHECK(cost <= site.choice.CostAt(other, wanted, false, kStart));
+      }
+    }
+    CHECK_FALSE(chosen.empty());
+  }
+}
+
+TEST_CASE("many bytes stay near, unless the near endpoint is busy") {
+  Site site;
+  site.pool.SetListed({Listed("near", "dc1"), Listed("far", "dc2")}, kStart);
+  const Prompt prompt = {{"shared", 50}, {"own", 10}};
+  for (uint64_t affinity = 0; affinity < 20; ++affinity) {
+    WantedEndpoint wanted = Wanted(&prompt, 17000);
+    wanted.affinity = affinity;
+    CHECK(site.choice.Choose(wanted, kStart) == "near");
+  }
+  const Prompt waiting = {{"other", 60000}, {"own", 10}};
+  site.loads.Sent("near", {"route/model", "model", &waiting}, kStart);
+  CHECK(site.choice.Choose(Wanted(&prompt, 17000), kStart) == "far");
+}
+
+TEST_CASE("what was tried is tried again only if there is no other") {
+  Site site;
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc1")}, kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  wanted.tried = {"a"};
+  wanted.last_tried = "a";
+  CHECK(site.choice.Choose(wanted, kStart) == "b");
+  wanted.tried = {"a", "b"};
+  wanted.last_tried = "b";
+  CHECK(site.choice.Choose(wanted, kStart) == "a");
+  site.pool.SetListed({Listed("b", "dc1")}, kStart);
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+}
+
+}  // namespace
+}  // namespace leverwick
