Endpoints beyond reach are left alone, so that a request is refused at once

Two attempts in a row without an answer put an endpoint beyond reach; it then gets one request in 500 ms until it answers (leverwick/reachability.h). A request that has no other endpoint is refused, with 500 ms to come back.

The unit test of the choice does not compile without it; one lost packet is no cut in it.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -36,8 +36,8 @@
       guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
-      choice_(&pool_, &rollouts_, &loads_, FarCost(options.far_megabyte),
-              options.data_centre),
+      choice_(&pool_, &rollouts_, &loads_, &reach_,
+              FarCost(options.far_megabyte), options.data_centre),
       connections_(loop, options.connections),
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {}
@@ -120,6 +120,7 @@
 void Relay::Expire(TimePoint now) {
   directory_.Expire(now);
   loads_.Expire(now);
+  reach_.Expire(now);
 }
 
 RetryBudget* Relay::BudgetOf(const std::string& service) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -128,6 +128,7 @@
   VersionWatch watch_;
   ModelCascade cascade_;
   EngineLoads loads_;
+  Reachability reach_;
   const EndpointChoice choice_;
   HttpConnections connections_;
   Metrics metrics_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -23,8 +23,8 @@
 constexpr int kMostDispatches = 6;
 // A caller that reads slower than its endpoint writes stops the reading.
 constexpr size_t kMostPending = 256UL * 1024;
-// When to come back if every endpoint was full or none could be reached: the
-// pool drains some requests in this time.
+// When to come back if every endpoint was full: the pool drains some requests
+// in this time.
 constexpr milliseconds kComeBackAfter{250};
 
 // An answer that promises the request was not run, by its status alone.
@@ -141,6 +141,7 @@
   last_tried_ = endpoint.id;
   log_.Sent();
   relay_->pool_.Started(endpoint.id);
+  relay_->reach_.Trying(endpoint.id, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
@@ -175,6 +176,7 @@
   try_->has_head = true;
   if (answer.succeeded()) relay_->loads_.Began(try_->ticket, Clock::now());
   relay_->loads_.Reached(try_->data_centre);
+  relay_->reach_.Answered(try_->endpoint);
   try_->answer = answer;
   try_->head = head;
   try_->streams =
@@ -283,6 +285,8 @@
   auto self = shared_from_this();
   if (try_->weak) return;  // AskLargerModel is on its way
   TellBroken(failure);
+  bool silent = !failure.sent && failure.error == std::errc::timed_out;
+  if (silent) relay_->reach_.TimedOut(try_->endpoint, Clock::now());
   relay_->loads_.Failed(try_->ticket, try_->data_centre, Clock::now());
   EndTry(failure.sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent);
 }
@@ -336,7 +340,10 @@
 
 void RelayedRequest::AnswerNotRun(Result result) {
   answer_status_ = Info(result).http_status;
-  relay_->Refuse(exchange_, request_.id, result, kComeBackAfter);
+  // Before the next probe nothing is found to have changed.
+  bool none_reached = result == Result::kNoEndpoint;
+  relay_->Refuse(exchange_, request_.id, result,
+                 none_reached ? Reachability::kProbeInterval : kComeBackAfter);
   Finish("not_run");
 }
 
--- a/leverwick/endpoint_choice.cc
+++ b/leverwick/endpoint_choice.cc
@@ -33,6 +33,7 @@
                                      TimePoint now) const {
   std::string target = rollouts_->TargetOf(wanted.service);
   auto allowed = [&](const ListedEndpoint& endpoint) {
+    if (!reach_->MayTry(endpoint.address, now)) return false;
     return side == Side::kAny ||
            (endpoint.version == target) == (side == Side::kTarget);
   };
--- a/leverwick/endpoint_choice.h
+++ b/leverwick/endpoint_choice.h
@@ -4,9 +4,10 @@
 // there would hold up, what bytes to another data centre cost, and what is
 // known of cut-off data centres count as waiting. A roll-out decides which of
 // its two versions may take the request; an endpoint that was tried before is
-// taken again only if there is no other.
+// taken again only if there is no other, and one beyond reach never.
 //
-//   EndpointChoice choice(&pool, &rollouts, &loads, far_cost, data_centre);
+//   EndpointChoice choice(&pool, &rollouts, &loads, &reach, far_cost,
+//                         data_centre);
 //   std::string id = choice.Choose(wanted, now);  // empty: none
 
 #ifndef LEVERWICK_ENDPOINT_CHOICE_H_
@@ -19,6 +20,7 @@
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/far_cost.h"
+#include "leverwick/reachability.h"
 #include "leverwick/service_rollouts.h"
 #include "leverwick/time.h"
 
@@ -40,11 +42,12 @@
  public:
   // What is pointed to must outlive this. `data_centre`: of this box.
   EndpointChoice(const EndpointPool* pool, const ServiceRollouts* rollouts,
-                 const EngineLoads* loads, FarCost far_cost,
-                 std::string data_centre)
+                 const EngineLoads* loads, const Reachability* reach,
+                 FarCost far_cost, std::string data_centre)
       : pool_(pool),
         rollouts_(rollouts),
         loads_(loads),
+        reach_(reach),
         far_cost_(far_cost),
         data_centre_(std::move(data_centre)) {}
 
@@ -67,6 +70,7 @@
   const EndpointPool* const pool_;
   const ServiceRollouts* const rollouts_;
   const EngineLoads* const loads_;
+  const Reachability* const reach_;
   const FarCost far_cost_;
   const std::string data_centre_;
 };
--- a/leverwick/testing/endpoint_choice_test.cc
+++ b/leverwick/testing/endpoint_choice_test.cc
@@ -24,8 +24,10 @@
   EndpointPool pool;
   ServiceRollouts rollouts{RolloutOptions()};
   EngineLoads loads;
-  EndpointChoice choice{&pool, &rollouts, &loads,
-                        FarCost(std::chrono::seconds(30)), "dc1"};
+  Reachability reach;
+  EndpointChoice choice{
+      &pool, &rollouts, &loads, &reach, FarCost(std::chrono::seconds(30)),
+      "dc1"};
 };
 
 WantedEndpoint Wanted(const Prompt* prompt, size_t body_bytes) {
@@ -86,6 +88,35 @@
   CHECK(site.choice.Choose(Wanted(&prompt, 17000), kStart) == "far");
 }
 
+TEST_CASE("an endpoint beyond reach gets a request now and then") {
+  Site site;
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2")}, kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  // One lost packet is no cut.
+  site.reach.TimedOut("a", kStart);
+  CHECK(site.choice.Choose(wanted, kStart) == "a");
+  site.reach.TimedOut("a", kStart);
+  CHECK(site.choice.Choose(wanted, kStart) == "b");
+  // A request that has tried both does not go round them again.
+  site.reach.TimedOut("b", kStart);
+  site.reach.TimedOut("b", kStart);
+  wanted.tried = {"a", "b"};
+  wanted.last_tried = "b";
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  // Nor does any other wait for what is known.
+  wanted.tried.clear();
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  TimePoint later = kStart + Reachability::kProbeInterval;
+  CHECK(site.choice.Choose(wanted, later) == "a");
+  site.reach.Trying("a", later);
+  site.reach.Trying("b", later);
+  CHECK(site.choice.Choose(wanted, later).empty());
+  site.reach.Answered("b");
+  CHECK(site.choice.Choose(wanted, later) == "b");
+  site.reach.Expire(later + std::chrono::seconds(61));
+  CHECK(site.reach.size() == 0);
+}
+
 TEST_CASE("what was tried is tried again only if there is no other") {
   Site site;
   site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc1")}, kStart);
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -194,18 +194,19 @@
         : socket(*loop), timer(*loop) {}
     tcp::socket socket;
     boost::asio::steady_timer timer;
+    bool timed_out = false;
   };
   auto attempt = std::make_shared<Attempt>(loop);
   attempt->timer.expires_after(limit);
   attempt->timer.async_wait([attempt](auto error) {
-    boost::system::error_code ignored;  // a late success is closed below
-    if (!error) attempt->socket.close(ignored);
+    if (error) return;
+    attempt->timed_out = true;
+    boost::system::error_code ignored;  // the attempt ends in any case
+    attempt->socket.close(ignored);
   });
   attempt->socket.async_connect(address, [attempt, callback](auto error) {
     attempt->timer.cancel();
-    if (!error && !attempt->socket.is_open()) {
-      error = boost::asio::error::timed_out;
-    }
+    if (attempt->timed_out) error = boost::asio::error::timed_out;
     if (error) return callback(error, nullptr);
     SetTcpOptions(&attempt->socket);
     callback({}, std::make_shared<TcpConnection>(std::move(attempt->socket)));
