--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -231,6 +231,45 @@
   }));
 }
 
+// Answers each read with a proof that is nearly too old, as a box does that has
+// missed the store itself.
+class OldProofs : public KeyedLog {
+ public:
+  void Read(const LogQuery& query, ReadCallback callback) override {
+    ++reads;
+    LogPage page;
+    page.as_of = Clock::now() - query.most_age + milliseconds(20);
+    callback({}, page);
+  }
+  void Newest(const LogQuery&, const std::string&,
+              NewestCallback callback) override {
+    NewestPage page;
+    page.as_of = Clock::now();
+    callback({}, page);
+  }
+  void Append(const std::string&, const KeyedRecord&, std::optional<uint64_t>,
+              AppendCallback callback) override {
+    callback(Result::kUnreachable);
+  }
+
+  int reads = 0;
+};
+
+TEST_CASE("no pause follows a read whose proof would grow too old in it") {
+  boost::asio::io_context loop;
+  OldProofs log;
+  Told told;
+  constexpr milliseconds kInterval{100};
+  TopicFollower follower(&loop, &log,
+                         {kTopic, milliseconds(0), kInterval, kMostAge}, &told);
+  follower.Start();
+  REQUIRE(RunUntil(&loop, [&] { return log.reads == 1; }));
+  TimePoint start = Clock::now();
+  REQUIRE(RunUntil(&loop, [&] { return log.reads == 3; }));
+  // Two pauses of 20 ms, not two intervals.
+  CHECK(Clock::now() - start < 2 * kInterval);
+}
+
 TEST_CASE("a proof that is too old is no proof, from whomever it comes") {
   Pair pair;
   pair.store.away = true;
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -4,6 +4,8 @@
 
 #include "daemon/topic_follower.h"
 
+#include <algorithm>
+
 #include "leverwick/result.h"
 #include "net/log.h"
 
@@ -108,7 +110,14 @@
   // An empty page before the end would be asked for again without an end.
   if (next_ < page.end && !page.records.empty()) return ReadLog();
   if (next_ < page.end) return OnError(Result::kBadResponse);
-  After(page.paced ? milliseconds(0) : options_.interval);
+  After(page.paced ? milliseconds(0) : PauseAfter(page.as_of));
+}
+
+milliseconds TopicFollower::PauseAfter(TimePoint as_of) const {
+  if (options_.most_age.count() == 0) return options_.interval;
+  auto until_old = std::chrono::duration_cast<milliseconds>(
+      as_of + options_.most_age - Clock::now());
+  return std::clamp(until_old, milliseconds(0), options_.interval);
 }
 
 void TopicFollower::OnError(std::error_code error) {
