A larger model is asked only if its whole answer fits in the time left

Change: leverwick/escalation expects the whole answer: until it begins at the endpoint that would be chosen, then its events at the pace of their kind plus what holds up all streams at present.

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -27,6 +27,7 @@
 #include "leverwick/endpoint_choice.h"
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
+#include "leverwick/escalation.h"
 #include "leverwick/estimates.h"
 #include "leverwick/guard.h"
 #include "leverwick/key_trust.h"
@@ -128,6 +129,7 @@
   Guard guard_;
   VersionWatch watch_;
   ModelCascade cascade_;
+  Escalation escalation_;
   EngineLoads loads_;
   Reachability reach_;
   const EndpointChoice choice_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -82,15 +82,16 @@
   return request_.session.empty() ? request_.id : request_.session;
 }
 
-const std::string& RelayedRequest::chosen_model() const {
+const std::string& RelayedRequest::chosen_model(size_t model) const {
   static const std::string as_named;
   bool chosen = request_.any_model && !route_.models.empty();
-  return chosen ? route_.models[model_] : as_named;
+  return chosen ? route_.models[model] : as_named;
 }
 
-EngineWork RelayedRequest::Work() const {
+EngineWork RelayedRequest::Work(size_t model) const {
   EngineWork work;
-  work.model = chosen_model().empty() ? request_.model : chosen_model();
+  const std::string& chosen = chosen_model(model);
+  work.model = chosen.empty() ? request_.model : chosen;
   work.kind = route_.name + "/" + work.model;
   if (!request_.prompt.empty()) work.prompt = &request_.prompt;
   return work;
@@ -105,7 +106,7 @@
   return StableHash(request_.id);
 }
 
-std::string RelayedRequest::ChooseEndpoint() {
+std::string RelayedRequest::ChooseEndpoint(size_t model) {
   using Side = ServiceRollouts::Side;
   // A roll-out was ordered after the request began: it began on the version
   // before, and its session stays there.
@@ -120,7 +121,7 @@
   wanted.service = service_;
   wanted.side = side_;
   wanted.affinity = Affinity();
-  wanted.work = Work();
+  wanted.work = Work(model);
   wanted.body_bytes = exchange_->body().size();
   wanted.tried = tried_;
   wanted.last_tried = last_tried_;
@@ -129,7 +130,7 @@
 
 void RelayedRequest::Dispatch() {
   if (finished_) return;
-  std::string chosen = ChooseEndpoint();
+  std::string chosen = ChooseEndpoint(model_);
   const DirectoryEntry* endpoint = relay_->directory_.Find(chosen);
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
@@ -149,7 +150,7 @@
   try_->version = endpoint.version;
   try_->data_centre = endpoint.data_centre;
   try_->sent_at = Clock::now();
-  try_->ticket = relay_->loads_.Sent(endpoint.id, Work(), try_->sent_at);
+  try_->ticket = relay_->loads_.Sent(endpoint.id, Work(model_), try_->sent_at);
   relay_->rollouts_.Sent(service_, request_.session, endpoint.version);
   TellSend(endpoint);
   try_->call =
@@ -206,10 +207,29 @@
   size_t better = ModelCascade::Better(route_, model_);
   return better != model_ && relay_->cascade_.IsWeak(confidence) &&
          log_.attempts_left() &&
-         TimeLeft(Clock::now()) > route_.objective / 4 &&
+         TimeLeft(Clock::now()) > route_.objective / 4 && CanFinish(better) &&
          relay_->TakeRetry(service_);
 }
 
+bool RelayedRequest::CanFinish(size_t model) {
+  TimePoint now = Clock::now();
+  std::string endpoint = ChooseEndpoint(model);
+  if (endpoint.empty()) return false;
+  Seconds begins_in = relay_->loads_.ExpectedBegin(endpoint, Work(model), now);
+  return relay_->escalation_.Fits(KindOf(model), begins_in, TimeLeft(now), now);
+}
+
+StreamKind RelayedRequest::KindOf(size_t model) const {
+  return {route_.name, chosen_model(model), request_.max_answer_tokens};
+}
+
+void RelayedRequest::NoteStream(bool whole) {
+  if (!stream_started_ || resumed_) return;
+  TimePoint now = Clock::now();
+  relay_->escalation_.Streamed(
+      {KindOf(model_), events_.events(), now - first_event_at_, whole}, now);
+}
+
 void RelayedRequest::AskLargerModel() {
   if (finished_ || !try_ || !try_->weak) return;
   if (try_->call) try_->call->Abort();
@@ -256,6 +276,7 @@
   if (!stream_started_) return PassAnswer(try_->head, "");
   relay_->watch_.Streamed(Watched(), events_.events(),
                           Clock::now() - first_event_at_);
+  NoteStream(true);
   exchange_->EndStream();
   Finish(kAnswered);
 }
@@ -313,7 +334,10 @@
                 (route_.repeatable() || (refused && !log_.may_have_run())));
   NextStep step = log_.After(outcome, could && MayResend(outcome));
   TellTryEnd(outcome, step);
-  if (step == NextStep::kTryAgain) return Dispatch();
+  if (step == NextStep::kTryAgain) {
+    resumed_ = stream_started_;
+    return Dispatch();
+  }
   if (stream_started_) return BreakStream("stream_broken");
   if (step == NextStep::kAnswerNotRun) {
     return AnswerNotRun(refused ? Result::kEndpointRefused
@@ -369,7 +393,10 @@
 void RelayedRequest::OnTimeUp() {
   if (finished_) return;
   bool sent = try_ && try_->call && try_->call->sent();
-  if (stream_started_) return BreakStream("stream_timed_out");
+  if (stream_started_) {
+    NoteStream(false);
+    return BreakStream("stream_timed_out");
+  }
   if (!sent && !log_.may_have_run()) return AnswerNotRun(Result::kQueueTimeout);
   AnswerOwn(Result::kDeadline);
 }
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -55,14 +55,16 @@
  private:
   // Sending.
   void Dispatch();
-  std::string ChooseEndpoint();
+  std::string ChooseEndpoint(size_t model);
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
   // Requests with the same value are best sent to the same endpoint.
   uint64_t Affinity() const;
   // The model that was chosen for the caller; empty: as the caller named it.
-  const std::string& chosen_model() const;
-  EngineWork Work() const;
+  const std::string& chosen_model(size_t model) const;
+  const std::string& chosen_model() const { return chosen_model(model_); }
+  // What is asked of an endpoint, by the model of that index.
+  EngineWork Work(size_t model) const;
   // What decides the side of a roll-out: a request without a session stands
   // for itself.
   const std::string& SessionOrId() const;
@@ -75,6 +77,11 @@
 
   // Judging a try.
   bool IsTooWeak();
+  // Whether the model of that index is expected to finish in time.
+  bool CanFinish(size_t model);
+  StreamKind KindOf(size_t model) const;
+  // A stream has ended, whole or cut.
+  void NoteStream(bool whole);
   void AskLargerModel();
   void OnWholeAnswer();
   void EndTry(AttemptOutcome outcome);
@@ -130,6 +137,7 @@
   EventSplitter events_;
   bool stream_started_ = false;
   TimePoint first_event_at_{};
+  bool resumed_ = false;  // the stream broke and went on elsewhere
   // The last failure an endpoint answered with.
   std::optional<std::pair<HttpHead, std::string>> failure_;
   int answer_status_ = 0;  // that the caller gets; 0: none yet
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -96,6 +96,23 @@
                 kHoldsUpOthers * unread * pace.seconds_per_token;
   auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) return Seconds(wait);
+  double beside = kBeside * static_cast<double>(found->second.waiting.size());
+  return Seconds(wait + beside) + DelayAt(endpoint, now);
+}
+
+Seconds EngineLoads::ExpectedBegin(const std::string& endpoint,
+                                   const EngineWork& work,
+                                   TimePoint now) const {
+  const Pace& pace = PaceOf(work.kind);
+  double reading =
+      UnreadTokens(endpoint, work, false, now) * pace.seconds_per_token;
+  return Seconds(pace.seconds + reading) + ReadingAt(endpoint) +
+         DelayAt(endpoint, now);
+}
+
+Seconds EngineLoads::DelayAt(const std::string& endpoint, TimePoint now) const {
+  auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) return Seconds(0);
   const Endpoint& known = found->second;
   double waited = 0;
   if (!known.waiting.empty()) {
@@ -103,9 +120,7 @@
     waited = ToSeconds(now - oldest.sent) - oldest.expected;
   }
   double delay = std::max(Delay(known, now), waited);
-  delay = std::max(0.0, delay - kOrdinaryDelay);
-  double beside = kBeside * static_cast<double>(known.waiting.size());
-  return Seconds(wait + delay + beside);
+  return Seconds(std::max(0.0, delay - kOrdinaryDelay));
 }
 
 Seconds EngineLoads::ReadingAt(const std::string& endpoint) const {
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -55,6 +55,10 @@
   Seconds ExpectedWait(const std::string& endpoint, const EngineWork& work,
                        bool preferred, TimePoint now) const;
 
+  // The same without what weighs for others: when the answer would begin.
+  Seconds ExpectedBegin(const std::string& endpoint, const EngineWork& work,
+                        TimePoint now) const;
+
   uint64_t Sent(const std::string& endpoint, const EngineWork& work,
                 TimePoint now);
   // How long the endpoint is expected to read the prompt of a ticket.
@@ -112,6 +116,8 @@
                       bool preferred, TimePoint now) const;
   static double Delay(const Endpoint& endpoint, TimePoint now);
   const Pace& PaceOf(const std::string& kind) const;
+  // How much later than expected answers begin there now.
+  Seconds DelayAt(const std::string& endpoint, TimePoint now) const;
   // What the endpoint still has to read, for all boxes that tell.
   Seconds ReadingAt(const std::string& endpoint) const;
   void Learn(const Pending& pending, double took);
