--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -216,7 +216,10 @@
   std::string endpoint = ChooseEndpoint(model);
   if (endpoint.empty()) return false;
   Seconds begins_in = relay_->loads_.ExpectedBegin(endpoint, Work(model), now);
-  return relay_->escalation_.Fits(KindOf(model), begins_in, TimeLeft(now), now);
+  bool fits =
+      relay_->escalation_.Fits(KindOf(model), begins_in, TimeLeft(now), now);
+  if (!fits) TellKept(model, begins_in, now);
+  return fits;
 }
 
 StreamKind RelayedRequest::KindOf(size_t model) const {
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -107,6 +107,9 @@
   std::string TryStatus() const;
   // One line for a send, with what chose the endpoint.
   void TellSend(const DirectoryEntry& endpoint);
+  // The weak answer is passed on, since that model's would not be whole in
+  // time.
+  void TellKept(size_t model, Seconds begins_in, TimePoint now);
   void TellSurplus(const AnswerHead& answer);
   void TellBroken(const ClientCall::Failure& failure);
   // One line for a try without an answer to pass on, with what comes next.
