--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -79,9 +79,9 @@
   milliseconds session_pause{5000};
   // From the first step's record to the first use of the target: in this time
   // the sessions that boxes tell reach all others, and so does the list of the
-  // target's endpoints, which a box may know 1.4 s later than another. Measured
-  // on 91 boxes of 0.12 of a core: all know the step within 70 ms of the first
-  // and all lists within 400 ms.
+  // target's endpoints, which a box may know 1.4 s later than another. On 91
+  // boxes of 0.12 of a core the last learned the step 62 ms after the first
+  // (one calm day, from the logs of all).
   milliseconds settling{1500};
 };
 
