--- a/leverwick/escalation.h
+++ b/leverwick/escalation.h
@@ -15,8 +15,8 @@
 //
 //   Escalation escalation;
 //   escalation.Streamed(stream, now);
-//   bool fits = escalation.Fits({"chat", "large", tokens}, begins_in, left,
-//   now);
+//   StreamKind kind{"chat", "large", tokens};
+//   bool fits = escalation.Fits(kind, begins_in, left, now);
 
 #ifndef LEVERWICK_ESCALATION_H_
 #define LEVERWICK_ESCALATION_H_
