--- a/leverwick/guard.h
+++ b/leverwick/guard.h
@@ -62,7 +62,7 @@
   // one costs no calls. Of `boxes` in all, those that have told nothing are
   // taken to have timed `answers` each, none of them slow. Without this the
   // slow answers that every version has, one here and one there, add up in a
-  // large fleet: on 91 boxes a sound version was stopped in 3 of 7 calm days.
+  // large fleet: on 91 boxes a sound version was stopped in 3 of 7 plays.
   void Presume(const std::string& subject, size_t boxes, double answers);
 
   // Takes another life's sums.
