Drained data centres get nothing new, cold endpoints what they bear

Endpoints that come back cold look idle to all 65 boxes at once; one got 25 to 28 requests in a second where it bears 13 and 24.5 are allowed.

SlowStart gives each cold endpoint as many senders among the boxes as its rate has whole requests, by rendezvous hash; nothing is agreed on. A caller that no endpoint can take is told at once, with the time at which one opens.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -31,6 +31,13 @@
                {"version", entry.version},
                {"address", entry.address}});
   }
+  bool cold = entry.cold_for > milliseconds(0);
+  if (cold && (is_new || found->second.entry.cold_for == milliseconds(0))) {
+    kLog.Info("Endpoint is cold.",
+              {{"endpoint", entry.id},
+               {"for_ms", std::to_string(entry.cold_for.count())}});
+  }
+  slow_start_->Told(entry.id, entry.cold_for, now);
   Known& known = entries_[entry.id];
   bool left = known.entry.leaving;
   known.entry = entry;
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -9,7 +9,7 @@
 // serves on: such an entry is kept no longer than that, counted from the last
 // read that still had it.
 //
-//   EndpointDirectory directory(&pool);
+//   EndpointDirectory directory(&pool, &slow_start);
 //   directory.Put(endpoint, now);
 //   directory.Remove(id, now);
 //   directory.ReadFailed(); ... directory.ReadSucceeded(as_of);
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "leverwick/endpoints.h"
+#include "leverwick/slow_start.h"
 #include "leverwick/time.h"
 
 namespace leverwick {
@@ -36,12 +37,14 @@
   std::string version;  // of its software
   size_t places = 1;
   bool leaving = false;
+  milliseconds cold_for{0};  // how much longer it bears few requests only
 };
 
 // Not thread-safe.
 class EndpointDirectory {
  public:
-  explicit EndpointDirectory(EndpointPool* pool) : pool_(pool) {}
+  EndpointDirectory(EndpointPool* pool, SlowStart* slow_start)
+      : pool_(pool), slow_start_(slow_start) {}
 
   void Put(const DirectoryEntry& entry, TimePoint now);
   void Remove(const std::string& id, TimePoint now);
@@ -77,6 +80,7 @@
   void Publish(TimePoint now);
 
   EndpointPool* const pool_;
+  SlowStart* const slow_start_;
   std::map<std::string, Known> entries_;
   bool away_ = false;
   TimePoint back_at_{};  // as of the first read after failed ones
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -28,7 +28,8 @@
     : loop_(loop),
       dialect_(dialect),
       options_(options),
-      directory_(&pool_),
+      slow_start_(options.life),
+      directory_(&pool_, &slow_start_),
       proof_(options.proof_age),
       key_trust_(KeyTrustOf(options.strict_withdrawal)),
       rollouts_(options.rollout),
@@ -36,7 +37,7 @@
       guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
-      choice_(&pool_, &rollouts_, &loads_, &reach_,
+      choice_({&pool_, &rollouts_, &loads_, &reach_, &drained_, &slow_start_},
               FarCost(options.far_megabyte), options.data_centre),
       connections_(loop, options.connections),
       random_(std::random_device{}()),
@@ -54,6 +55,7 @@
               config_ == nullptr ? "none" : std::to_string(config_->version())},
              {"routes", std::to_string(config.routes().size())}});
   config_ = std::make_shared<const ServiceConfig>(std::move(config));
+  slow_start_.SetLimits(config_->ColdLimits());
   return true;
 }
 
@@ -121,6 +123,7 @@
   directory_.Expire(now);
   loads_.Expire(now);
   reach_.Expire(now);
+  slow_start_.Expire(now);
 }
 
 RetryBudget* Relay::BudgetOf(const std::string& service) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -79,6 +79,8 @@
   EngineLoads* loads() { return &loads_; }
   ReadProof* proof() { return &proof_; }
   EndpointDirectory* directory() { return &directory_; }
+  DrainedDataCentres* drained() { return &drained_; }
+  SlowStart* slow_start() { return &slow_start_; }
   ServiceRollouts* rollouts() { return &rollouts_; }
   Guard* guard() { return &guard_; }
   const VersionWatch* watch() const { return &watch_; }
@@ -121,6 +123,8 @@
   const RelayOptions options_;
   std::shared_ptr<const ServiceConfig> config_;
   EndpointPool pool_;
+  DrainedDataCentres drained_;
+  SlowStart slow_start_;
   EndpointDirectory directory_;
   ReadProof proof_;
   const KeyTrust& key_trust_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -106,7 +106,7 @@
   return StableHash(request_.id);
 }
 
-std::string RelayedRequest::ChooseEndpoint(size_t model) {
+WantedEndpoint RelayedRequest::Wanted(size_t model) {
   using Side = ServiceRollouts::Side;
   // A roll-out was ordered after the request began: it began on the version
   // before, and its session stays there.
@@ -125,7 +125,11 @@
   wanted.body_bytes = exchange_->body().size();
   wanted.tried = tried_;
   wanted.last_tried = last_tried_;
-  return relay_->choice_.Choose(wanted, Clock::now());
+  return wanted;
+}
+
+std::string RelayedRequest::ChooseEndpoint(size_t model) {
+  return relay_->choice_.Choose(Wanted(model), Clock::now());
 }
 
 void RelayedRequest::Dispatch() {
@@ -145,6 +149,7 @@
   log_.Sent();
   relay_->pool_.Started(endpoint.id);
   relay_->reach_.Trying(endpoint.id, Clock::now());
+  relay_->slow_start_.Sent(endpoint.id, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
@@ -371,10 +376,12 @@
 
 void RelayedRequest::AnswerNotRun(Result result) {
   answer_status_ = Info(result).http_status;
-  // Before the next probe nothing is found to have changed.
-  bool none_reached = result == Result::kNoEndpoint;
-  relay_->Refuse(exchange_, request_.id, result,
-                 none_reached ? Reachability::kProbeInterval : kComeBackAfter);
+  milliseconds come_back_after = kComeBackAfter;
+  if (result == Result::kNoEndpoint) {
+    come_back_after =
+        relay_->choice_.ComeBackAfter(Wanted(model_), Clock::now());
+  }
+  relay_->Refuse(exchange_, request_.id, result, come_back_after);
   Finish("not_run");
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -55,6 +55,7 @@
  private:
   // Sending.
   void Dispatch();
+  WantedEndpoint Wanted(size_t model);
   std::string ChooseEndpoint(size_t model);
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -19,7 +19,8 @@
 
 struct Listed {
   EndpointPool pool;
-  EndpointDirectory directory{&pool};
+  SlowStart slow_start{"box"};
+  EndpointDirectory directory{&pool, &slow_start};
 
   Listed() { directory.Put(MakeEntry("a"), kStart); }
   bool Serves(TimePoint now) const { return pool.Serves("chat", now); }
--- a/leverwick/endpoint_choice.cc
+++ b/leverwick/endpoint_choice.cc
@@ -3,10 +3,20 @@
 
 #include "leverwick/endpoint_choice.h"
 
+#include <algorithm>
+
 namespace leverwick {
 
 using Side = ServiceRollouts::Side;
 
+namespace {
+
+// Drains last for seconds to hours, and no order says how long; a caller that
+// comes back each second costs little and is late by a second at most.
+constexpr milliseconds kLookForDrained{1000};
+
+}  // namespace
+
 std::string EndpointChoice::Choose(const WantedEndpoint& wanted,
                                    TimePoint now) const {
   std::string chosen = ChooseFrom(wanted, wanted.tried, now);
@@ -23,7 +33,7 @@
   std::string chosen = ChooseOn(wanted.side, wanted, excluded, now);
   // A version without endpoints of its own leaves its requests to the other,
   // but nothing new goes to a target that is bad.
-  bool may_cross = rollouts_->MayUseTarget(wanted.service);
+  bool may_cross = facts_.rollouts->MayUseTarget(wanted.service);
   if (!chosen.empty() || !may_cross) return chosen;
   return ChooseOn(Side::kAny, wanted, excluded, now);
 }
@@ -31,27 +41,65 @@
 std::string EndpointChoice::ChooseOn(Side side, const WantedEndpoint& wanted,
                                      const std::set<std::string>& excluded,
                                      TimePoint now) const {
-  std::string target = rollouts_->TargetOf(wanted.service);
+  std::string target = facts_.rollouts->TargetOf(wanted.service);
   auto allowed = [&](const ListedEndpoint& endpoint) {
-    if (!reach_->MayTry(endpoint.address, now)) return false;
+    if (!MayTake(endpoint, now)) return false;
     return side == Side::kAny ||
            (endpoint.version == target) == (side == Side::kTarget);
   };
   auto cost = [&](const ListedEndpoint& endpoint, bool preferred) {
     return CostAt(endpoint, wanted, preferred, now).count();
   };
-  return pool_
+  return facts_.pool
       ->PickCheapest(wanted.service, wanted.affinity, excluded, now, allowed,
                      cost)
       .address;
 }
 
+bool EndpointChoice::MayTake(const ListedEndpoint& endpoint,
+                             TimePoint now) const {
+  return !facts_.drained->IsDrained(endpoint.data_centre) &&
+         facts_.reach->MayTry(endpoint.address, now) &&
+         facts_.slow_start->MaySend(endpoint, now);
+}
+
+std::optional<nanoseconds> EndpointChoice::OpensIn(
+    const ListedEndpoint& endpoint, TimePoint now) const {
+  if (facts_.drained->IsDrained(endpoint.data_centre)) return std::nullopt;
+  bool reached = facts_.reach->MayTry(endpoint.address, now);
+  nanoseconds found = reached ? nanoseconds(0) : Reachability::kProbeInterval;
+  return std::max(found, facts_.slow_start->RoomIn(endpoint, now));
+}
+
+milliseconds EndpointChoice::ComeBackAfter(const WantedEndpoint& wanted,
+                                           TimePoint now) const {
+  bool listed = false;
+  std::optional<nanoseconds> soonest;
+  auto look = [&](const ListedEndpoint& endpoint) {
+    listed = true;
+    auto opens = OpensIn(endpoint, now);
+    if (opens && (!soonest || *opens < *soonest)) soonest = opens;
+    return false;  // only looked at
+  };
+  auto no_cost = [](const ListedEndpoint&, bool) { return 0.0; };
+  facts_.pool->PickCheapest(wanted.service, wanted.affinity, {}, now, look,
+                            no_cost);
+  if (listed && !soonest) return kLookForDrained;
+  // What an endpoint may take now has been tried: it is looked for as if none
+  // were within reach.
+  if (!soonest || *soonest <= nanoseconds(0)) {
+    return Reachability::kProbeInterval;
+  }
+  return std::chrono::ceil<milliseconds>(*soonest);
+}
+
 Seconds EndpointChoice::CostAt(const ListedEndpoint& endpoint,
                                const WantedEndpoint& wanted, bool preferred,
                                TimePoint now) const {
   bool far = endpoint.data_centre != data_centre_;
-  return loads_->ExpectedWait(endpoint.address, wanted.work, preferred, now) +
-         loads_->CutOffWait(endpoint.data_centre, now) +
+  return facts_.loads->ExpectedWait(endpoint.address, wanted.work, preferred,
+                                    now) +
+         facts_.loads->CutOffWait(endpoint.data_centre, now) +
          (far ? far_cost_.Of(wanted.body_bytes) : Seconds(0));
 }
 
--- a/leverwick/endpoint_choice.h
+++ b/leverwick/endpoint_choice.h
@@ -4,24 +4,28 @@
 // there would hold up, what bytes to another data centre cost, and what is
 // known of cut-off data centres count as waiting. A roll-out decides which of
 // its two versions may take the request; an endpoint that was tried before is
-// taken again only if there is no other, and one beyond reach never.
+// taken again only if there is no other. One beyond reach, in a data centre
+// that is drained, or cold and given what it bears is never taken.
 //
-//   EndpointChoice choice(&pool, &rollouts, &loads, &reach, far_cost,
-//                         data_centre);
-//   std::string id = choice.Choose(wanted, now);  // empty: none
+//   EndpointChoice choice(EndpointChoice::Facts{...}, far_cost, data_centre);
+//   std::string id = choice.Choose(wanted, now);
+//   if (id.empty()) ... choice.ComeBackAfter(wanted, now)
 
 #ifndef LEVERWICK_ENDPOINT_CHOICE_H_
 #define LEVERWICK_ENDPOINT_CHOICE_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "leverwick/drained_data_centres.h"
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/far_cost.h"
 #include "leverwick/reachability.h"
 #include "leverwick/service_rollouts.h"
+#include "leverwick/slow_start.h"
 #include "leverwick/time.h"
 
 namespace leverwick {
@@ -40,20 +44,29 @@
 
 class EndpointChoice {
  public:
-  // What is pointed to must outlive this. `data_centre`: of this box.
-  EndpointChoice(const EndpointPool* pool, const ServiceRollouts* rollouts,
-                 const EngineLoads* loads, const Reachability* reach,
-                 FarCost far_cost, std::string data_centre)
-      : pool_(pool),
-        rollouts_(rollouts),
-        loads_(loads),
-        reach_(reach),
+  // What is known of endpoints; all of it must outlive the choice.
+  struct Facts {
+    const EndpointPool* pool;
+    const ServiceRollouts* rollouts;
+    const EngineLoads* loads;
+    const Reachability* reach;
+    const DrainedDataCentres* drained;
+    const SlowStart* slow_start;
+  };
+
+  // `data_centre`: of this box.
+  EndpointChoice(const Facts& facts, FarCost far_cost, std::string data_centre)
+      : facts_(facts),
         far_cost_(far_cost),
         data_centre_(std::move(data_centre)) {}
 
   // The endpoint's id; empty when none may take the request.
   std::string Choose(const WantedEndpoint& wanted, TimePoint now) const;
 
+  // When an endpoint may take the request that none takes now: what its caller
+  // is told.
+  milliseconds ComeBackAfter(const WantedEndpoint& wanted, TimePoint now) const;
+
   // What an endpoint would cost, in waiting. `preferred`: the one that the
   // affinity hashes to.
   Seconds CostAt(const ListedEndpoint& endpoint, const WantedEndpoint& wanted,
@@ -67,10 +80,12 @@
                        const std::set<std::string>& excluded,
                        TimePoint now) const;
 
-  const EndpointPool* const pool_;
-  const ServiceRollouts* const rollouts_;
-  const EngineLoads* const loads_;
-  const Reachability* const reach_;
+  bool MayTake(const ListedEndpoint& endpoint, TimePoint now) const;
+  // Until the endpoint may take a request; nothing: no time is known.
+  std::optional<nanoseconds> OpensIn(const ListedEndpoint& endpoint,
+                                     TimePoint now) const;
+
+  const Facts facts_;
   const FarCost far_cost_;
   const std::string data_centre_;
 };
--- a/leverwick/service_config.cc
+++ b/leverwick/service_config.cc
@@ -27,6 +27,14 @@
   return found == keys_.end() ? nullptr : &found->second;
 }
 
+std::map<std::string, ColdLimit> ServiceConfig::ColdLimits() const {
+  std::map<std::string, ColdLimit> limits;
+  for (const auto& [name, service] : services_) {
+    if (service.cold_limit) limits[name] = *service.cold_limit;
+  }
+  return limits;
+}
+
 const ServiceInfo* ServiceConfig::FindService(const std::string& name) const {
   auto found = services_.find(name);
   return found == services_.end() ? nullptr : &found->second;
--- a/leverwick/service_config.h
+++ b/leverwick/service_config.h
@@ -63,6 +63,12 @@
   double cost = 0;  // a 1,000 tokens made; tokens read count a quarter
 };
 
+// What an endpoint bears while it is cold.
+struct ColdLimit {
+  double rate = 0;       // requests a second, from all boxes together
+  nanoseconds lasts{0};  // from its start until it is warm
+};
+
 struct ServiceInfo {
   std::string name;
   std::string health_path;
@@ -70,6 +76,7 @@
   bool runs_models = false;
   size_t places = 0;         // requests in one batch of an engine
   int64_t token_memory = 0;  // tokens that an engine's memory holds
+  std::optional<ColdLimit> cold_limit;
   std::vector<ServiceModel> models;
 };
 
@@ -102,6 +109,9 @@
   const KeyHolder* FindKey(const std::string& key) const;
   const ServiceInfo* FindService(const std::string& name) const;
 
+  // By service, of those whose endpoints bear less while they are cold.
+  std::map<std::string, ColdLimit> ColdLimits() const;
+
   const std::vector<ServiceRoute>& routes() const { return routes_; }
   const std::map<std::string, ServiceInfo>& services() const {
     return services_;
--- a/leverwick/testing/endpoint_choice_test.cc
+++ b/leverwick/testing/endpoint_choice_test.cc
@@ -25,8 +25,11 @@
   ServiceRollouts rollouts{RolloutOptions()};
   EngineLoads loads;
   Reachability reach;
+  DrainedDataCentres drained;
+  SlowStart slow_start{"box"};
   EndpointChoice choice{
-      &pool, &rollouts, &loads, &reach, FarCost(std::chrono::seconds(30)),
+      {&pool, &rollouts, &loads, &reach, &drained, &slow_start},
+      FarCost(std::chrono::seconds(30)),
       "dc1"};
 };
 
@@ -117,6 +120,47 @@
   CHECK(site.reach.size() == 0);
 }
 
+TEST_CASE("a drained data centre gets nothing, whatever else is busy") {
+  Site site;
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2")}, kStart);
+  const Prompt busy = {{"other", 60000}, {"own", 10}};
+  site.loads.Sent("b", {"route/model", "model", &busy}, kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  CHECK(site.choice.Choose(wanted, kStart) == "a");
+  site.drained.Drain("dc1");
+  CHECK(site.choice.Choose(wanted, kStart) == "b");
+  // Neither the second round of tries nor the other version gets around it.
+  wanted.tried = {"a", "b"};
+  wanted.last_tried = "b";
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  site.drained.Drain("dc2");
+  wanted.tried.clear();
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  CHECK(site.choice.ComeBackAfter(wanted, kStart) == milliseconds(1000));
+  site.drained.Restore("dc2");
+  CHECK(site.choice.Choose(wanted, kStart) == "b");
+}
+
+TEST_CASE("a caller that no cold endpoint can take learns when one can") {
+  Site site;
+  site.slow_start.SetBoxes({});
+  site.slow_start.SetLimits({{"service", {2, std::chrono::seconds(3)}}});
+  site.pool.SetListed({Listed("a", "dc1")}, kStart);
+  site.slow_start.Told("a", milliseconds(2500), kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(site.choice.Choose(wanted, kStart) == "a");
+    site.slow_start.Sent("a", kStart);
+  }
+  TimePoint soon = kStart + milliseconds(300);
+  CHECK(site.choice.Choose(wanted, soon).empty());
+  CHECK(site.choice.ComeBackAfter(wanted, soon) == milliseconds(700));
+  CHECK(site.choice.Choose(wanted, soon + milliseconds(700)) == "a");
+  // Another that is warm takes what the cold one must not.
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2")}, kStart);
+  CHECK(site.choice.Choose(wanted, soon) == "b");
+}
+
 TEST_CASE("what was tried is tried again only if there is no other") {
   Site site;
   site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc1")}, kStart);
