A roll-out's first step waits until half of the target is warm

Cause: endpoints of a new version start cold. Sessions of the target's share that a cold endpoint may not take would run on the version before and so change their version midway, which the first half of a roll-out must not do.

Change: the first step is proposed once at least half of the target's endpoints will be warm at the first use of the target.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -41,6 +41,7 @@
   Known& known = entries_[entry.id];
   bool left = known.entry.leaving;
   known.entry = entry;
+  known.cold_until = now + entry.cold_for;
   // A life never comes back from leaving.
   known.entry.leaving = entry.leaving || left;
   known.doubtful = false;
@@ -125,6 +126,22 @@
   return versions;
 }
 
+bool EndpointDirectory::IsWarm(const std::string& service,
+                               const std::string& version,
+                               TimePoint when) const {
+  size_t all = 0;
+  size_t warm = 0;
+  for (const auto& [id, known] : entries_) {
+    const DirectoryEntry& entry = known.entry;
+    bool counts = entry.service == service && entry.version == version &&
+                  !entry.leaving && !known.gone;
+    if (!counts) continue;
+    ++all;
+    if (known.cold_until <= when) ++warm;
+  }
+  return all > 0 && 2 * warm >= all;
+}
+
 void EndpointDirectory::Erase(const std::string& id) {
   kLog.Info("Endpoint is no longer listed.", {{"endpoint", id}});
   entries_.erase(id);
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -63,11 +63,16 @@
   const DirectoryEntry* Find(const std::string& id) const;
   // Versions of a service's endpoints that are not leaving.
   std::set<std::string> VersionsOf(const std::string& service) const;
+  // Whether at least half of a version's endpoints will be warm at `when`.
+  // False for a version without endpoints.
+  bool IsWarm(const std::string& service, const std::string& version,
+              TimePoint when) const;
   size_t size() const { return entries_.size(); }
 
  private:
   struct Known {
     DirectoryEntry entry;
+    TimePoint cold_until{};  // by its own word
     bool doubtful = false;   // vanished while the list could not be read
     TimePoint kept_until{};  // a doubtful one, at most
     bool gone = false;       // by its own word
--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -107,6 +107,25 @@
   CHECK(listed.directory.Find("a") == nullptr);
 }
 
+TEST_CASE("a version is warm once half of its endpoints are") {
+  Listed listed;
+  CHECK_FALSE(listed.directory.IsWarm("chat", "v2", kStart));
+  for (const char* id : {"b", "c", "d"}) {
+    DirectoryEntry entry = MakeEntry(id);
+    entry.version = "v2";
+    entry.cold_for = milliseconds(id == std::string("b") ? 1000 : 3000);
+    listed.directory.Put(entry, kStart);
+  }
+  CHECK_FALSE(listed.directory.IsWarm("chat", "v2", kStart));
+  CHECK_FALSE(
+      listed.directory.IsWarm("chat", "v2", kStart + milliseconds(1500)));
+  CHECK(listed.directory.IsWarm("chat", "v2", kStart + milliseconds(3000)));
+  // Others' coldness is not this version's, nor is a leaving one's.
+  CHECK(listed.directory.IsWarm("chat", "v1", kStart));
+  listed.directory.Remove("d", kStart);
+  CHECK(listed.directory.IsWarm("chat", "v2", kStart + milliseconds(1500)));
+}
+
 TEST_CASE("an endpoint that another took the address of gets nothing more") {
   Listed listed;
   listed.directory.Gone("a", kStart);
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -146,6 +146,8 @@
   bool IsWatched(const std::string& service) const;
   // Whether requests are sent to the target by now.
   bool IsUsed(const std::string& service, TimePoint now) const;
+  // From the first step's record to the first use of a target.
+  milliseconds settling() const { return options_.settling; }
   // Of sessions, before all of them.
   double target_share() const { return options_.target_share; }
   // Whether its latency can be compared with the version's before it: a target
