Choosing an endpoint takes one pass; renewed entries change nothing

Cause: each choice sorted all endpoints by a hash that it computed anew in every comparison, some 1,500 hashes for 112 endpoints, and each renewed entry of the platform's list (93 a second) was handed to the pool as a whole new list.

Change: one pass finds the preferred and the cheapest endpoint, held against an ordered search in the tests; an entry that only renews itself is not handed on. The rank of a box for a key is a function of its own.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -1,5 +1,6 @@
-// Every change is handed to the pool as a new list; entries are few hundred
-// and change some times a second.
+// Every change is handed to the pool as a new list, which costs as much as the
+// list is long. An endpoint renews its entry each second or so; what only
+// renews is not handed on.
 
 #include "daemon/endpoint_directory.h"
 
@@ -40,12 +41,13 @@
   slow_start_->Told(entry.id, entry.cold_for, now);
   Known& known = entries_[entry.id];
   bool left = known.entry.leaving;
+  bool is_news = is_new || known.doubtful || !known.entry.SameAs(entry);
   known.entry = entry;
   known.cold_until = now + entry.cold_for;
   // A life never comes back from leaving.
   known.entry.leaving = entry.leaving || left;
   known.doubtful = false;
-  Publish(now);
+  if (is_news) Publish(now);
 }
 
 void EndpointDirectory::Remove(const std::string& id, TimePoint now) {
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -38,6 +38,14 @@
   size_t places = 1;
   bool leaving = false;
   milliseconds cold_for{0};  // how much longer it bears few requests only
+
+  // Whether the pool would hold the same of both; how cold they are is not the
+  // pool's.
+  bool SameAs(const DirectoryEntry& other) const {
+    return address == other.address && service == other.service &&
+           data_centre == other.data_centre && version == other.version &&
+           places == other.places && leaving == other.leaving;
+  }
 };
 
 // Not thread-safe.
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -216,21 +216,29 @@
   auto endpoints = shard.targets.find(target);
   if (endpoints == shard.targets.end()) return Choice();
   auto candidates = Candidates(endpoints->second, excluded, now, allowed);
-  std::sort(candidates.begin(), candidates.end(),
-            [affinity](const Endpoint* a, const Endpoint* b) {
-              return Preference(a->listed.address, affinity) >
-                     Preference(b->listed.address, affinity);
-            });
-  Choice choice;
-  double least = 0;
+  std::vector<uint64_t> preferences;
+  preferences.reserve(candidates.size());
   for (const Endpoint* endpoint : candidates) {
-    bool preferred = endpoint == candidates.front();
-    double its_cost = cost(endpoint->listed, preferred);
-    if (!choice.address.empty() && its_cost >= least) continue;
+    preferences.push_back(Preference(endpoint->listed.address, affinity));
+  }
+  uint64_t highest = 0;
+  for (uint64_t preference : preferences) {
+    highest = std::max(highest, preference);
+  }
+  const Endpoint* chosen = nullptr;
+  double least = 0;
+  uint64_t chosen_preference = 0;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    double its_cost = cost(candidates[i]->listed, preferences[i] == highest);
+    bool better = chosen == nullptr || its_cost < least ||
+                  (its_cost == least && preferences[i] > chosen_preference);
+    if (!better) continue;
+    chosen = candidates[i];
     least = its_cost;
-    choice = Choice{endpoint->listed.address, LoadOf(*endpoint, now)};
+    chosen_preference = preferences[i];
   }
-  return choice;
+  if (chosen == nullptr) return Choice();
+  return Choice{chosen->listed.address, LoadOf(*chosen, now)};
 }
 
 void EndpointPool::Started(const std::string& address) {
--- a/leverwick/slow_start.cc
+++ b/leverwick/slow_start.cc
@@ -15,7 +15,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "leverwick/digest.h"
+#include "leverwick/rendezvous.h"
 
 namespace leverwick {
 namespace {
@@ -85,13 +85,7 @@
 size_t SlowStart::RankAt(const std::string& endpoint) const {
   auto found = ranks_.find(endpoint);
   if (found != ranks_.end()) return found->second;
-  uint64_t seed = StableHash(endpoint);
-  uint64_t own = StableHash(box_, seed);
-  auto before = [&](const std::string& other) {
-    return StableHash(other, seed) < own;
-  };
-  auto rank = std::count_if(others_->begin(), others_->end(), before);
-  return ranks_[endpoint] = static_cast<size_t>(rank);
+  return ranks_[endpoint] = RendezvousRank(endpoint, box_, *others_);
 }
 
 size_t SlowStart::OwnQuota(const std::string& endpoint, double rate) const {
--- a/leverwick/testing/endpoints_test.cc
+++ b/leverwick/testing/endpoints_test.cc
@@ -133,5 +133,52 @@
   CHECK(missing == 0);
 }
 
+// The slow reference: all endpoints in the order of their preference, of which
+// the first one that is cheapest is taken.
+std::string CheapestInOrder(std::vector<ListedEndpoint> endpoints,
+                            uint64_t affinity,
+                            const std::map<std::string, double>& costs) {
+  std::sort(endpoints.begin(), endpoints.end(),
+            [affinity](const ListedEndpoint& a, const ListedEndpoint& b) {
+              return StableHash(a.address, affinity) >
+                     StableHash(b.address, affinity);
+            });
+  std::string chosen;
+  for (const ListedEndpoint& endpoint : endpoints) {
+    bool cheaper =
+        chosen.empty() || costs.at(endpoint.address) < costs.at(chosen);
+    if (cheaper) chosen = endpoint.address;
+  }
+  return chosen;
+}
+
+TEST_CASE("the cheapest endpoint is that of an ordered search") {
+  std::mt19937 random(7);
+  for (int round = 0; round < 300; ++round) {
+    std::vector<ListedEndpoint> endpoints;
+    std::map<std::string, double> costs;
+    for (unsigned i = 0; i < 1 + random() % 9; ++i) {
+      ListedEndpoint endpoint;
+      endpoint.address = "e" + std::to_string(i);
+      endpoint.target = "service";
+      endpoints.push_back(endpoint);
+      costs[endpoint.address] = random() % 3;  // so that many are equal
+    }
+    EndpointPool pool;
+    pool.SetListed(endpoints, TimePoint());
+    uint64_t affinity = random();
+    auto any = [](const ListedEndpoint&) { return true; };
+    size_t preferred = 0;
+    auto cost = [&](const ListedEndpoint& endpoint, bool is_preferred) {
+      if (is_preferred) ++preferred;
+      return costs.at(endpoint.address);
+    };
+    auto choice =
+        pool.PickCheapest("service", affinity, {}, TimePoint(), any, cost);
+    CHECK(choice.address == CheapestInOrder(endpoints, affinity, costs));
+    CHECK(preferred == 1);
+  }
+}
+
 }  // namespace
 }  // namespace leverwick
