Home regions of routes and organisations bind the choice of an endpoint

Cause: an operator may say in which regions a route's or an organisation's requests are worked on; nothing read that.

No box passes a request on to another, so nothing else is concerned. A request whose home regions have no endpoint is refused at once.

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -48,6 +48,7 @@
 struct RelayOptions {
   std::string life;          // names this box's life in sums and logs
   std::string data_centre;   // of this box
+  Regions regions;           // of all data centres
   nanoseconds proof_age{0};  // oldest proof of the configuration in force
   // Whether keyed work is refused without a proof (leverwick/key_trust.h).
   bool strict_withdrawal = true;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -123,6 +123,7 @@
   wanted.affinity = Affinity();
   wanted.work = Work(model);
   wanted.body_bytes = exchange_->body().size();
+  wanted.homes = {&route_.homes, &holder_.homes};
   wanted.tried = tried_;
   wanted.last_tried = last_tried_;
   return wanted;
--- a/leverwick/endpoint_choice.cc
+++ b/leverwick/endpoint_choice.cc
@@ -43,7 +43,7 @@
                                      TimePoint now) const {
   std::string target = facts_.rollouts->TargetOf(wanted.service);
   auto allowed = [&](const ListedEndpoint& endpoint) {
-    if (!MayTake(endpoint, now)) return false;
+    if (!MayTake(endpoint, wanted, now)) return false;
     return side == Side::kAny ||
            (endpoint.version == target) == (side == Side::kTarget);
   };
@@ -56,16 +56,24 @@
       .address;
 }
 
+bool EndpointChoice::IsPermitted(const ListedEndpoint& endpoint,
+                                 const WantedEndpoint& wanted) const {
+  return !facts_.drained->IsDrained(endpoint.data_centre) &&
+         wanted.homes.Allow(regions_.Of(endpoint.data_centre));
+}
+
 bool EndpointChoice::MayTake(const ListedEndpoint& endpoint,
+                             const WantedEndpoint& wanted,
                              TimePoint now) const {
-  return !facts_.drained->IsDrained(endpoint.data_centre) &&
+  return IsPermitted(endpoint, wanted) &&
          facts_.reach->MayTry(endpoint.address, now) &&
          facts_.slow_start->MaySend(endpoint, now);
 }
 
 std::optional<nanoseconds> EndpointChoice::OpensIn(
-    const ListedEndpoint& endpoint, TimePoint now) const {
-  if (facts_.drained->IsDrained(endpoint.data_centre)) return std::nullopt;
+    const ListedEndpoint& endpoint, const WantedEndpoint& wanted,
+    TimePoint now) const {
+  if (!IsPermitted(endpoint, wanted)) return std::nullopt;
   bool reached = facts_.reach->MayTry(endpoint.address, now);
   nanoseconds found = reached ? nanoseconds(0) : Reachability::kProbeInterval;
   return std::max(found, facts_.slow_start->RoomIn(endpoint, now));
@@ -77,7 +85,7 @@
   std::optional<nanoseconds> soonest;
   auto look = [&](const ListedEndpoint& endpoint) {
     listed = true;
-    auto opens = OpensIn(endpoint, now);
+    auto opens = OpensIn(endpoint, wanted, now);
     if (opens && (!soonest || *opens < *soonest)) soonest = opens;
     return false;  // only looked at
   };
--- a/leverwick/endpoint_choice.h
+++ b/leverwick/endpoint_choice.h
@@ -5,7 +5,8 @@
 // known of cut-off data centres count as waiting. A roll-out decides which of
 // its two versions may take the request; an endpoint that was tried before is
 // taken again only if there is no other. One beyond reach, in a data centre
-// that is drained, or cold and given what it bears is never taken.
+// that is drained, outside the request's home regions, or cold and given what
+// it bears is never taken.
 //
 //   EndpointChoice choice(EndpointChoice::Facts{...}, far_cost, data_centre);
 //   std::string id = choice.Choose(wanted, now);
@@ -23,6 +24,7 @@
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/far_cost.h"
+#include "leverwick/homes.h"
 #include "leverwick/reachability.h"
 #include "leverwick/service_rollouts.h"
 #include "leverwick/slow_start.h"
@@ -38,6 +40,7 @@
   uint64_t affinity = 0;
   EngineWork work;
   size_t body_bytes = 0;
+  Homes homes;
   std::set<std::string> tried;  // ids
   std::string last_tried;       // empty: none
 };
@@ -55,10 +58,12 @@
   };
 
   // `data_centre`: of this box.
-  EndpointChoice(const Facts& facts, FarCost far_cost, std::string data_centre)
+  EndpointChoice(const Facts& facts, FarCost far_cost, std::string data_centre,
+                 Regions regions = {})
       : facts_(facts),
         far_cost_(far_cost),
-        data_centre_(std::move(data_centre)) {}
+        data_centre_(std::move(data_centre)),
+        regions_(std::move(regions)) {}
 
   // The endpoint's id; empty when none may take the request.
   std::string Choose(const WantedEndpoint& wanted, TimePoint now) const;
@@ -80,14 +85,20 @@
                        const std::set<std::string>& excluded,
                        TimePoint now) const;
 
-  bool MayTake(const ListedEndpoint& endpoint, TimePoint now) const;
+  bool MayTake(const ListedEndpoint& endpoint, const WantedEndpoint& wanted,
+               TimePoint now) const;
   // Until the endpoint may take a request; nothing: no time is known.
   std::optional<nanoseconds> OpensIn(const ListedEndpoint& endpoint,
+                                     const WantedEndpoint& wanted,
                                      TimePoint now) const;
+  // Whether neither an operator's order nor the request's homes forbid it.
+  bool IsPermitted(const ListedEndpoint& endpoint,
+                   const WantedEndpoint& wanted) const;
 
   const Facts facts_;
   const FarCost far_cost_;
   const std::string data_centre_;
+  const Regions regions_;
 };
 
 }  // namespace leverwick
--- a/leverwick/service_config.cc
+++ b/leverwick/service_config.cc
@@ -55,9 +55,11 @@
 
 ServiceConfig::Builder& ServiceConfig::Builder::AddOrganisation(
     const std::string& name, const std::vector<std::string>& keys,
-    std::optional<int> priority) {
+    std::optional<int> priority, const std::vector<std::string>& homes) {
   config_.has_organisations_ = true;
-  for (const std::string& key : keys) config_.keys_[key] = {name, priority};
+  for (const std::string& key : keys) {
+    config_.keys_[key] = {name, priority, homes};
+  }
   return *this;
 }
 
--- a/leverwick/service_config.h
+++ b/leverwick/service_config.h
@@ -50,6 +50,8 @@
   // Models that may answer, smallest first; empty: the caller names one.
   std::vector<std::string> models;
   std::vector<ServiceShare> services;
+  // Regions whose endpoints may take its requests; empty: all.
+  std::vector<std::string> homes;
 
   // Whether a request may run again after it ran or may have run.
   bool repeatable() const {
@@ -84,6 +86,8 @@
 struct KeyHolder {
   std::string organisation;
   std::optional<int> priority;  // replaces the route's
+  // Regions whose endpoints may take its requests; empty: all.
+  std::vector<std::string> homes;
 };
 
 struct CallerLimits {
@@ -136,7 +140,8 @@
   Builder& Add(ServiceInfo service);
   Builder& AddOrganisation(const std::string& name,
                            const std::vector<std::string>& keys,
-                           std::optional<int> priority);
+                           std::optional<int> priority,
+                           const std::vector<std::string>& homes = {});
   Builder& SetLimits(const CallerLimits& limits);
   ServiceConfig Build() { return std::move(config_); }
 
--- a/leverwick/testing/endpoint_choice_test.cc
+++ b/leverwick/testing/endpoint_choice_test.cc
@@ -30,7 +30,8 @@
   EndpointChoice choice{
       {&pool, &rollouts, &loads, &reach, &drained, &slow_start},
       FarCost(std::chrono::seconds(30)),
-      "dc1"};
+      "dc1",
+      Regions({{"dc1", "north"}, {"dc2", "south"}})};
 };
 
 WantedEndpoint Wanted(const Prompt* prompt, size_t body_bytes) {
@@ -141,6 +142,37 @@
   CHECK(site.choice.Choose(wanted, kStart) == "b");
 }
 
+TEST_CASE("requests with home regions go to endpoints there only") {
+  Site site;
+  ListedEndpoint unknown = Listed("c", "dc3");  // in no region that is known
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2"), unknown},
+                      kStart);
+  const std::vector<std::string> north = {"north"};
+  const std::vector<std::string> south = {"south"};
+  const std::vector<std::string> both = {"south", "north"};
+  const std::vector<std::string> none;
+  struct Asked {
+    const std::vector<std::string>* route;
+    const std::vector<std::string>* organisation;
+    std::set<std::string> allowed;
+  };
+  const Asked cases[] = {
+      {&north, &none, {"a"}}, {&none, &south, {"b"}},
+      {&both, &south, {"b"}}, {&both, &none, {"a", "b"}},
+      {&north, &south, {}},   {&none, &none, {"a", "b", "c"}}};
+  for (const Asked& asked : cases) {
+    WantedEndpoint wanted = Wanted(nullptr, 0);
+    wanted.homes = {asked.route, asked.organisation};
+    // One after the other, as if each had failed.
+    std::string id = site.choice.Choose(wanted, kStart);
+    while (!id.empty() && wanted.tried.insert(id).second) {
+      wanted.last_tried = id;
+      id = site.choice.Choose(wanted, kStart);
+    }
+    CHECK(wanted.tried == asked.allowed);
+  }
+}
+
 TEST_CASE("a caller that no cold endpoint can take learns when one can") {
   Site site;
   site.slow_start.SetBoxes({});
