--- /dev/null
+++ b/leverwick/turns.h
@@ -0,0 +1,55 @@
+// When a box does what one box of the fleet has to do, if no other has by then.
+//
+// A step of a roll-out is due on all boxes at the same moment, and each attempt
+// at recording it is a call to the store, also one that comes second. So boxes
+// take turns: in an order that the duty's name decides, which all boxes find
+// alike. The first few get a turn each, one after the other, so that a box that
+// is gone, frozen or cut off delays the duty by one turn. Should all of them
+// fail, the rest follow at random moments of as long a time again.
+//
+//   Turns turns{"box-1", others};
+//   nanoseconds pause = turns.PauseBefore("step/chat/v2/all", most, draw);
+
+#ifndef LEVERWICK_TURNS_H_
+#define LEVERWICK_TURNS_H_
+
+#include <string>
+#include <vector>
+
+#include "leverwick/rendezvous.h"
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+class Turns {
+ public:
+  Turns(std::string box, std::vector<std::string> others)
+      : box_(std::move(box)), others_(std::move(others)) {}
+
+  // All boxes but this one.
+  void SetBoxes(std::vector<std::string> others) {
+    others_ = std::move(others);
+  }
+  size_t boxes() const { return others_.size() + 1; }
+
+  // `most`: the time for the first boxes' turns together. `draw`: uniform from
+  // 0 to 1, drawn anew for each duty.
+  nanoseconds PauseBefore(const std::string& duty, nanoseconds most,
+                          double draw) const {
+    size_t rank = RendezvousRank(duty, box_, others_);
+    if (rank < kFirstBoxes) return most / kFirstBoxes * rank;
+    return most + FromSeconds(ToSeconds(most) * draw);
+  }
+
+ private:
+  // Boxes with a turn of their own. Faults of the played days leave one of four
+  // in place, but for those that strike half of a fleet at once.
+  static constexpr size_t kFirstBoxes = 4;
+
+  const std::string box_;
+  std::vector<std::string> others_;
+};
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_TURNS_H_
