--- a/daemon/load_exchange.cc
+++ b/daemon/load_exchange.cc
@@ -17,13 +17,6 @@
 // How long a note waits for others: well below the 40 ms that the shortest
 // prompts take to be read, so that the news is not older than the prompt.
 constexpr milliseconds kGather{10};
-// Far boxes' notes wait longer, so that one datagram holds more of them: at
-// four long prompts a second and box each mostly has its own all the same.
-constexpr milliseconds kFarGather{50};
-// Prompts that take an engine at least this long to read are long. A third of
-// the sends are, the larger models' (played days), with nearly all that there
-// is to read.
-constexpr Seconds kLongReading{0.03};
 // Notes that fill a datagram; with the one that came last it stays below 1,400
 // bytes, what an Ethernet frame takes.
 constexpr size_t kFullBytes = 1000;
@@ -38,8 +31,7 @@
       data_centre_(std::move(data_centre)),
       most_far_(most_far),
       socket_(*loop),
-      timer_(*loop),
-      far_timer_(*loop) {
+      timer_(*loop) {
   notes_.set_life(std::random_device{}());
 }
 
@@ -70,10 +62,8 @@
     group.emplace_back(address.address(), address.port());
   }
   told_ = std::move(near);
-  far_told_ = std::move(far);
-  if (far_told_.size() > most_far_) return;
-  told_.insert(told_.end(), far_told_.begin(), far_told_.end());
-  far_told_.clear();
+  if (far.size() <= most_far_)
+    told_.insert(told_.end(), far.begin(), far.end());
 }
 
 void LoadExchange::Receive() {
@@ -103,9 +93,6 @@
     prompt.parts.assign(note.parts().begin(), note.parts().end());
     loads_->PeerSent(prompt, now);
   }
-  for (const FarPromptNote& note : notes.far()) {
-    loads_->FarSent(note.endpoint(), Seconds(note.reading_seconds()), now);
-  }
   for (uint64_t ticket : notes.read()) loads_->PeerRead(notes.life(), ticket);
 }
 
@@ -116,11 +103,6 @@
   note->set_reading_seconds(static_cast<float>(prompt.reading.count()));
   note->mutable_parts()->Add(prompt.parts.begin(), prompt.parts.end());
   SendSoon();
-  if (far_told_.empty() || prompt.reading < kLongReading) return;
-  FarPromptNote* far = far_notes_.add_far();
-  far->set_endpoint(prompt.endpoint);
-  far->set_reading_seconds(static_cast<float>(prompt.reading.count()));
-  SendFarSoon();
 }
 
 void LoadExchange::OnRead(uint64_t ticket) {
@@ -142,33 +124,10 @@
 
 void LoadExchange::Send() {
   if (notes_.sent().empty() && notes_.read().empty()) return;
-  SendTo(notes_, told_);
+  std::string bytes = notes_.SerializeAsString();
   notes_.clear_sent();
   notes_.clear_read();
-}
-
-void LoadExchange::SendFarSoon() {
-  if (far_notes_.ByteSizeLong() >= kFullBytes) return SendFar();
-  if (far_waiting_) return;
-  far_waiting_ = true;
-  far_timer_.expires_after(kFarGather);
-  far_timer_.async_wait([this](auto error) {
-    if (error) return;
-    far_waiting_ = false;
-    SendFar();
-  });
-}
-
-void LoadExchange::SendFar() {
-  if (far_notes_.far().empty()) return;
-  SendTo(far_notes_, far_told_);
-  far_notes_.clear_far();
-}
-
-void LoadExchange::SendTo(const LoadNotes& notes,
-                          const std::vector<Address>& boxes) {
-  std::string bytes = notes.SerializeAsString();
-  for (const Address& box : boxes) {
+  for (const Address& box : told_) {
     boost::system::error_code error;
     socket_.send_to(boost::asio::buffer(bytes), box, 0, error);
     metrics_->Add("leverwick_load_notes_total",
--- a/daemon/load_exchange.h
+++ b/daemon/load_exchange.h
@@ -8,8 +8,7 @@
 //
 // Boxes of the own data centre get every note. Those of other data centres get
 // them only where there are few, since a note to each costs bytes between data
-// centres with each request. Where there are many they are told of long prompts
-// only, and not when these are read (leverwick/far_backlog.h).
+// centres with each request.
 //
 //   LoadExchange exchange(&loop, &loads, &metrics, data_centre, most_far);
 //   std::error_code error = exchange.Start(address);
@@ -36,8 +35,8 @@
 // Belongs to the thread that runs its event loop.
 class LoadExchange : private EngineLoads::Observer {
  public:
-  // `most_far`: boxes of other data centres are told everything if there are at
-  // most so many.
+  // `most_far`: boxes of other data centres are told if there are at most so
+  // many.
   LoadExchange(boost::asio::io_context* loop, EngineLoads* loads,
                Metrics* metrics, std::string data_centre, size_t most_far);
   ~LoadExchange() override;
@@ -60,9 +59,6 @@
   // Sends the notes soon, or at once when they fill a datagram.
   void SendSoon();
   void Send();
-  void SendFarSoon();
-  void SendFar();
-  void SendTo(const LoadNotes& notes, const std::vector<Address>& boxes);
 
   EngineLoads* const loads_;
   Metrics* const metrics_;
@@ -72,11 +68,7 @@
   boost::asio::steady_timer timer_;
   bool waiting_ = false;  // the timer runs
   LoadNotes notes_;
-  std::vector<Address> told_;  // everything
-  boost::asio::steady_timer far_timer_;
-  bool far_waiting_ = false;
-  LoadNotes far_notes_;
-  std::vector<Address> far_told_;  // long prompts only
+  std::vector<Address> told_;
   std::array<char, 2048> buffer_{};
   Address sender_;
 };
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -92,7 +92,7 @@
                                   TimePoint now) const {
   const Pace& pace = PaceOf(work.kind);
   double unread = UnreadTokens(endpoint, work, preferred, now);
-  double wait = pace.seconds + ReadingAt(endpoint, now).count() +
+  double wait = pace.seconds + ReadingAt(endpoint).count() +
                 kHoldsUpOthers * unread * pace.seconds_per_token;
   auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) return Seconds(wait);
@@ -120,12 +120,10 @@
   return Seconds(std::max(0.0, delay - kOrdinaryDelay));
 }
 
-Seconds EngineLoads::ReadingAt(const std::string& endpoint,
-                               TimePoint now) const {
+Seconds EngineLoads::ReadingAt(const std::string& endpoint) const {
   auto found = endpoints_.find(endpoint);
   Seconds own(found == endpoints_.end() ? 0 : found->second.reading);
-  return own + peer_prompts_.ReadingAt(endpoint) +
-         far_backlog_.At(endpoint, now);
+  return own + peer_prompts_.ReadingAt(endpoint);
 }
 
 uint64_t EngineLoads::Sent(const std::string& endpoint, const EngineWork& work,
@@ -139,7 +137,7 @@
   const Pace& pace = PaceOf(work.kind);
   pending.reading = pending.unread * pace.seconds_per_token;
   pending.expected =
-      pace.seconds + pending.reading + ReadingAt(endpoint, now).count();
+      pace.seconds + pending.reading + ReadingAt(endpoint).count();
   Endpoint& into = endpoints_[endpoint];
   into.waiting[ticket] = now;
   into.reading += pending.reading;
@@ -246,7 +244,6 @@
 
 void EngineLoads::Expire(TimePoint now) {
   peer_prompts_.Expire(now);
-  far_backlog_.Expire(now);
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
     auto& parts = entry->second.parts;
     for (auto part = parts.begin(); part != parts.end();) {
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -23,7 +23,6 @@
 #include <string>
 #include <unordered_map>
 
-#include "leverwick/far_backlog.h"
 #include "leverwick/peer_prompts.h"
 #include "leverwick/prompt.h"
 #include "leverwick/time.h"
@@ -61,7 +60,7 @@
   Seconds OwnBegin(const std::string& endpoint, const EngineWork& work,
                    TimePoint now) const;
   Seconds HeldUpAt(const std::string& endpoint, TimePoint now) const {
-    return ReadingAt(endpoint, now) + DelayAt(endpoint, now);
+    return ReadingAt(endpoint) + DelayAt(endpoint, now);
   }
 
   uint64_t Sent(const std::string& endpoint, const EngineWork& work,
@@ -84,11 +83,6 @@
     peer_prompts_.Read(life, ticket);
   }
 
-  // A box of another data centre has sent a long prompt.
-  void FarSent(const std::string& endpoint, Seconds reading, TimePoint now) {
-    far_backlog_.Add(endpoint, reading, now);
-  }
-
   // Forgets parts that have not been used for long, and idle endpoints.
   void Expire(TimePoint now);
 
@@ -121,10 +115,6 @@
     TimePoint last{};
   };
 
-  // Boxes of two other data centres send two thirds of an engine's work where
-  // there are three, as on the users' deployments.
-  static constexpr double kFarPace = 2.0 / 3;
-
   // Tokens of the prompt that the endpoint would have to read.
   double UnreadTokens(const std::string& endpoint, const EngineWork& work,
                       bool preferred, TimePoint now) const;
@@ -133,7 +123,7 @@
   // How much later than expected answers begin there now.
   Seconds DelayAt(const std::string& endpoint, TimePoint now) const;
   // What the endpoint still has to read, for all boxes that tell.
-  Seconds ReadingAt(const std::string& endpoint, TimePoint now) const;
+  Seconds ReadingAt(const std::string& endpoint) const;
   void Learn(const Pending& pending, double took);
   // Remembers that the parts are kept there, and tells the observer.
   void Keep(uint64_t ticket, const EngineWork& work, TimePoint now);
@@ -143,7 +133,6 @@
   std::map<std::string, Failures> failures_;  // by data centre
   std::unordered_map<uint64_t, Pending> pending_;
   PeerPrompts peer_prompts_;
-  FarBacklog far_backlog_{kFarPace};
   Observer* observer_ = nullptr;
   uint64_t last_ticket_ = 0;
 };
