Steps of a roll-out are proposed in random turn again

Cause: in an order of the boxes a step waits for the first box of the order to find it due, which may have known the operator's order later than others.

Change: proposals are drawn at random as before, so that the first of all boxes comes first; a proposal that was overtaken still waits for what overtook it, and the looks at an ended roll-out's status keep their order.

--- a/leverwick/turns.h
+++ b/leverwick/turns.h
@@ -1,14 +1,14 @@
 // When a box does what one box of the fleet has to do, if no other has by then.
 //
-// A step of a roll-out is due on all boxes at the same moment, and each attempt
-// at recording it is a call to the store, also one that comes second. So boxes
-// take turns: in an order that the duty's name decides, which all boxes find
-// alike. The first few get a turn each, one after the other, so that a box that
-// is gone, frozen or cut off delays the duty by one turn. Should all of them
-// fail, the rest follow at random moments of as long a time again.
+// What is due on all boxes at the same moment is a call to the store for each of
+// them, also where another has done it already. So boxes take turns, in an order
+// that the duty's name decides and all boxes find alike. The first few get a turn
+// each, so that a box that is gone, frozen or cut off delays the duty by one.
+// Should all of these fail, the rest follow at random moments of as long a time
+// again.
 //
 //   Turns turns{"box-1", others};
-//   nanoseconds pause = turns.PauseBefore("step/chat/v2/all", most, draw);
+//   nanoseconds pause = turns.PauseBefore("status/chat/v2", most, draw);
 
 #ifndef LEVERWICK_TURNS_H_
 #define LEVERWICK_TURNS_H_
