--- a/leverwick/turns.h
+++ b/leverwick/turns.h
@@ -1,11 +1,11 @@
 // When a box does what one box of the fleet has to do, if no other has by then.
 //
-// What is due on all boxes at the same moment is a call to the store for each of
-// them, also where another has done it already. So boxes take turns, in an order
-// that the duty's name decides and all boxes find alike. The first few get a turn
-// each, so that a box that is gone, frozen or cut off delays the duty by one.
-// Should all of these fail, the rest follow at random moments of as long a time
-// again.
+// What is due on all boxes at the same moment is a call to the store for each
+// of them, also where another has done it already. So boxes take turns, in an
+// order that the duty's name decides and all boxes find alike. The first few
+// get a turn each, so that a box that is gone, frozen or cut off delays the
+// duty by one. Should all of these fail, the rest follow at random moments of
+// as long a time again.
 //
 //   Turns turns{"box-1", others};
 //   nanoseconds pause = turns.PauseBefore("status/chat/v2", most, draw);
