A box whose reads of the log hang is not taken for paused

Cause: a step of reading the log is up to three calls (the reader among the boxes, the platform, another box), each with a time limit, and only the end of the step was noted as an attempt. Where they hang one after another, 0.6 + 0.8 + 0.3 s in the scenarios' settings, a box that runs counts as paused after 1.5 s and refuses with 2005. Seen in replace_all_while_out, 3 of 60 requests, beside a load of 25. Ruled out by its logs: a pause of the box (no gap above 0.45 s), a later table elsewhere (no offset after 11).

Change: each call that failed is noted as an attempt.

--- a/daemon/table_reader.cc
+++ b/daemon/table_reader.cc
@@ -41,8 +41,9 @@
   uint64_t from = table_.next_offset();
   Member reader;
   *from_peer = node_->Reader(&reader);
-  if (*from_peer && !ReadPeer(reader, from, reply) && !reply->cut_off()) {
-    return {};
+  if (*from_peer) {
+    if (!ReadPeer(reader, from, reply) && !reply->cut_off()) return {};
+    AttemptFailed();
   }
   *from_peer = false;
   reply->Clear();
@@ -51,6 +52,13 @@
                               reply);
 }
 
+// Each call of a step is an attempt of its own. Together they may hang for
+// longer than the time after which a box counts as paused, while the box runs
+// on.
+void TableReader::AttemptFailed() {
+  node_->freshness.Read(false, table_.next_offset(), Clock::now());
+}
+
 void TableReader::Step() {
   TailReply reply;
   bool from_peer = false;
@@ -61,9 +69,10 @@
     return;
   }
   if (error) {
+    AttemptFailed();
     // Cut off from the platform: a peer may still know more.
     bool helped = StartFromPeers();
-    node_->freshness.Read(false, table_.next_offset(), Clock::now());
+    AttemptFailed();
     if (!helped) std::this_thread::sleep_for(kRetryPause);
     return;
   }
--- a/daemon/table_reader.h
+++ b/daemon/table_reader.h
@@ -33,6 +33,7 @@
 
  private:
   void Step();
+  void AttemptFailed();
   std::error_code ReadOnce(TailReply* reply, bool* from_peer);
   std::error_code ReadPeer(const Member& member, uint64_t from,
                            TailReply* reply);
