--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -26,6 +26,13 @@
   bool Serves(TimePoint now) const { return pool.Serves("chat", now); }
 };
 
+// The entry vanishes while the list is away, which is back at `back`.
+void VanishInOutage(EndpointDirectory* directory, TimePoint back) {
+  directory->ReadFailed();
+  directory->Remove("a", back);
+  directory->ReadSucceeded(back);
+}
+
 TEST_CASE("an endpoint that vanishes while the list can be read is gone") {
   Listed listed;
   listed.directory.ReadSucceeded(kStart);
@@ -38,19 +45,15 @@
   Listed listed;
   for (int outage = 0; outage < 2; ++outage) {
     TimePoint back = kStart + std::chrono::seconds(10 * (outage + 1));
-    listed.directory.ReadFailed();
-    listed.directory.Remove("a", back);
-    listed.directory.ReadSucceeded(back);
+    VanishInOutage(&listed.directory, back);
     listed.directory.Expire(back + milliseconds(2000));
     CHECK(listed.Serves(back));
     listed.directory.Put(MakeEntry("a"), back + milliseconds(2000));
     listed.directory.Expire(back + milliseconds(5000));
     CHECK(listed.Serves(back));
   }
-  listed.directory.ReadFailed();
   TimePoint back = kStart + std::chrono::seconds(40);
-  listed.directory.Remove("a", back);
-  listed.directory.ReadSucceeded(back);
+  VanishInOutage(&listed.directory, back);
   listed.directory.Expire(back + milliseconds(2500));
   CHECK_FALSE(listed.Serves(back));
 }
@@ -87,9 +90,7 @@
 TEST_CASE("a doubt ends when entries have had time to return") {
   Listed listed;
   TimePoint back = kStart + std::chrono::seconds(10);
-  listed.directory.ReadFailed();
-  listed.directory.Remove("a", back);
-  listed.directory.ReadSucceeded(back);
+  VanishInOutage(&listed.directory, back);
   listed.directory.Expire(back + milliseconds(2000));
   CHECK(listed.Serves(back));
   listed.directory.Expire(back + milliseconds(2150));
--- a/leverwick/testing/slow_start_test.cc
+++ b/leverwick/testing/slow_start_test.cc
@@ -106,11 +106,24 @@
   CHECK(SlowStart::QuotaOf(0.2, 65).each == 1);
 }
 
+// The worst of some seeds: requests in a second at one cold endpoint, and all
+// that no endpoint could take.
+PlayedReturn PlayChosenSenders(const PlayedFleet& fleet) {
+  PlayedReturn worst;
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    ChosenSenders senders(kRate, fleet, seed);
+    PlayedReturn played = SlowStartPlay(fleet, seed).Run(&senders);
+    worst.most = std::max(worst.most, played.most);
+    worst.refused += played.refused;
+  }
+  return worst;
+}
+
 // The load that the limit is for: a quarter of a pool returns, while a hot
 // prompt makes up 4 in 100 of the requests.
 TEST_CASE("without a limit a data centre's return breaks a cold endpoint") {
   PlayedFleet fleet;
-  for (uint64_t seed = 1; seed <= 3; ++seed) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
     Unlimited unlimited;
     CHECK(SlowStartPlay(fleet, seed).Run(&unlimited).most > kTooMany);
   }
@@ -120,12 +133,9 @@
   for (size_t boxes : {6, 20, 65, 200}) {
     PlayedFleet fleet;
     fleet.boxes = boxes;
-    for (uint64_t seed = 1; seed <= 3; ++seed) {
-      ChosenSenders senders(kRate, fleet, seed);
-      PlayedReturn played = SlowStartPlay(fleet, seed).Run(&senders);
-      CHECK(static_cast<double>(played.most) <= kRate);
-      CHECK(played.refused == 0);
-    }
+    PlayedReturn worst = PlayChosenSenders(fleet);
+    CHECK(static_cast<double>(worst.most) <= kRate);
+    CHECK(worst.refused == 0);
   }
 }
 
@@ -133,21 +143,14 @@
   PlayedFleet fleet;
   fleet.boxes = 200;
   fleet.cold = 2;
-  for (uint64_t seed = 1; seed <= 3; ++seed) {
-    ChosenSenders senders(kRate, fleet, seed);
-    PlayedReturn played = SlowStartPlay(fleet, seed).Run(&senders);
-    CHECK(static_cast<double>(played.most) <= kRate);
-  }
+  CHECK(static_cast<double>(PlayChosenSenders(fleet).most) <= kRate);
 }
 
 TEST_CASE("boxes that know the fleet in part don't break cold endpoints") {
   PlayedFleet fleet;
   fleet.stale_boxes = 0.2;
   fleet.unknown_to_them = 0.5;
-  for (uint64_t seed = 1; seed <= 5; ++seed) {
-    ChosenSenders senders(kRate, fleet, seed);
-    CHECK(SlowStartPlay(fleet, seed).Run(&senders).most <= kTooMany);
-  }
+  CHECK(PlayChosenSenders(fleet).most <= kTooMany);
 }
 
 }  // namespace
