--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -103,7 +103,8 @@
   explicit ServiceRollouts(const RolloutOptions& options) : options_(options) {}
 
   // Ordering the same target again changes nothing. A version that was found
-  // bad before is given another chance when it is ordered after another one.
+  // bad is a target again when it is ordered after another one; evidence
+  // against it that boxes remember still counts.
   void Ordered(const std::string& service, const std::string& target_version,
                milliseconds duration, TimePoint now);
 
