--- a/net/testing/raw_peer.h
+++ b/net/testing/raw_peer.h
@@ -42,12 +42,29 @@
  public:
   RawServer(boost::asio::io_context* loop, RawConnection::Receiver receiver)
       : acceptor_(*loop, {boost::asio::ip::address_v4::loopback(), 0}),
+        endpoint_(acceptor_.local_endpoint()),
         receiver_(std::move(receiver)) {
     Accept();
   }
 
+  // As a process that ends: all connections close, new ones are refused.
+  void Stop() {
+    acceptor_.close();
+    for (const auto& connection : connections) connection->tcp->Close();
+    connections.clear();
+  }
+  // Listens again at the same address.
+  void Start() {
+    acceptor_.open(endpoint_.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(endpoint_);
+    acceptor_.listen();
+    Accept();
+  }
+  bool is_open() const { return acceptor_.is_open(); }
+
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(endpoint_.port());
   }
 
   std::vector<std::shared_ptr<RawConnection>> connections;
@@ -64,6 +81,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  const boost::asio::ip::tcp::endpoint endpoint_;
   const RawConnection::Receiver receiver_;
 };
 
