Requests that end endpoints are held on all boxes; trials let them in again

Cause: what was bounded was the tries of one request id and the fleet's retries. A request that ends each endpoint it runs on comes again under new ids, at any box, and nothing was remembered of it. Change: runs under which an endpoint ended by itself, up to a second after they were over, are strikes against the request, known by its digest. After three ends the request is held: 503 `held` (2011) if it has not run, 502 `ends_endpoints` (3008) if it may have. Strikes are taken back by an answer whose endpoint lives on, by an endpoint that answers after its supposed end, and where a held request explains them.

--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -40,7 +40,8 @@
 
 bool EndpointEnds::IsUnplanned(const std::string& endpoint) const {
   const DirectoryEntry* entry = directory_->Find(endpoint);
-  return entry != nullptr && !entry->leaving;
+  return entry != nullptr && !entry->leaving &&
+         !rollouts_->IsLeft(entry->service, entry->version);
 }
 
 void EndpointEnds::Broke(const std::string& endpoint, TimePoint now) {
@@ -59,10 +60,9 @@
 
 void EndpointEnds::Look(const std::string& endpoint, TimePoint broke_at) {
   suspected_.erase(endpoint);
-  const DirectoryEntry* entry = directory_->Find(endpoint);
-  if (entry == nullptr || entry->leaving) return;
+  if (!IsUnplanned(endpoint)) return;
   bool lives = runs_.AnyOpenSince(endpoint, broke_at) ||
-               connections_->HasIdle(entry->address);
+               connections_->HasIdle(directory_->Find(endpoint)->address);
   if (lives) return;
   Tell(endpoint, broke_at, runs_.TakeUnder(endpoint, broke_at));
 }
--- a/daemon/endpoint_ends.h
+++ b/daemon/endpoint_ends.h
@@ -5,10 +5,10 @@
 // milliseconds. One that breaks alone was reset, cut off or closed by the
 // endpoint, which lives on. So after a break this waits a moment and looks
 // whether other calls to the endpoint, or connections at rest, are still open.
-// An endpoint that has said that it leaves, or that is not listed any more,
-// ends as planned and is nobody's fault.
+// An endpoint that has said that it leaves, that is not listed any more, or
+// whose version a roll-out has left, ends as planned and is nobody's fault.
 //
-//   EndpointEnds ends(&loop, &directory, &connections);
+//   EndpointEnds ends(&loop, &directory, &rollouts, &connections);
 //   ends.OnEnded([](const EndpointEnd& end) {...});
 //   uint64_t run = ends.runs()->Began(...);
 //   ends.Broke(endpoint, now);    // a call ended before its answer was whole
@@ -26,6 +26,7 @@
 
 #include "daemon/endpoint_directory.h"
 #include "leverwick/recent_runs.h"
+#include "leverwick/service_rollouts.h"
 #include "net/async_http_client.h"
 
 namespace leverwick {
@@ -43,8 +44,12 @@
 
   EndpointEnds(boost::asio::io_context* loop,
                const EndpointDirectory* directory,
+               const ServiceRollouts* rollouts,
                const HttpConnections* connections)
-      : loop_(loop), directory_(directory), connections_(connections) {}
+      : loop_(loop),
+        directory_(directory),
+        rollouts_(rollouts),
+        connections_(connections) {}
 
   void OnEnded(Callback callback) { on_ended_ = std::move(callback); }
 
@@ -70,6 +75,7 @@
 
   boost::asio::io_context* const loop_;
   const EndpointDirectory* const directory_;
+  const ServiceRollouts* const rollouts_;
   const HttpConnections* const connections_;
   RecentRuns runs_;
   std::map<std::string, TimePoint> suspected_;  // when a connection broke
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -41,16 +41,48 @@
               FarCost(options.far_megabyte), options.data_centre,
               options.regions),
       connections_(loop, options.connections),
-      ends_(loop, &directory_, &connections_),
+      ends_(loop, &directory_, &rollouts_, &connections_),
+      poison_(options.life),
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {
-  ends_.OnEnded([this](const EndpointEnd&) {
-    metrics_.Add("leverwick_endpoint_ends_total", "", 1);
-  });
+  ends_.OnEnded([this](const EndpointEnd& end) { OnEndpointEnd(end); });
 }
 
 Relay::~Relay() = default;
 
+void Relay::OnEndpointEnd(const EndpointEnd& end) {
+  metrics_.Add("leverwick_endpoint_ends_total", "", 1);
+  poison_.EndedUnder(end.under, end.at);
+  TellPoison();
+  ends_told_();
+}
+
+PoisonVerdict Relay::JudgeRequest(const RequestDigest& digest,
+                                  const std::string& service,
+                                  TimePoint now) const {
+  std::string target =
+      rollouts_.IsActive(service) ? rollouts_.TargetOf(service) : "";
+  auto is_listed = [&](const std::string& version) {
+    return directory_.VersionsOf(service).count(version) > 0;
+  };
+  return poison_.Judge(digest, target, is_listed, now);
+}
+
+void Relay::TellPoison() {
+  for (const PoisonNews& news : poison_.TakeNews()) {
+    std::string endpoints;
+    for (const std::string& endpoint : news.endpoints) {
+      endpoints += (endpoints.empty() ? "" : ",") + endpoint;
+    }
+    kLog.Warning(news.held ? "A request ends endpoints; it is held."
+                           : "A held request is let in again.",
+                 {{"digest", news.request.ShortName()},
+                  {"ended", endpoints.empty() ? "none" : endpoints}});
+    metrics_.Add("leverwick_poison_verdicts_total",
+                 news.held ? "verdict=\"held\"" : "verdict=\"let_in\"", 1);
+  }
+}
+
 bool Relay::SetConfig(ServiceConfig config) {
   if (config_ != nullptr && config.version() <= config_->version()) {
     return false;
@@ -130,7 +162,11 @@
   loads_.Expire(now);
   reach_.Expire(now);
   slow_start_.Expire(now);
-  ends_.runs()->TakeSurvived(now);
+  for (const EndpointRun& run : ends_.runs()->TakeSurvived(now)) {
+    poison_.Survived(run, now);
+  }
+  poison_.Expire(now);
+  TellPoison();
 }
 
 RetryBudget* Relay::BudgetOf(const std::string& service) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -33,6 +33,7 @@
 #include "leverwick/guard.h"
 #include "leverwick/key_trust.h"
 #include "leverwick/model_cascade.h"
+#include "leverwick/poison_requests.h"
 #include "leverwick/read_proof.h"
 #include "leverwick/request_sampler.h"
 #include "leverwick/retry_budget.h"
@@ -85,6 +86,8 @@
   SlowStart* slow_start() { return &slow_start_; }
   ServiceRollouts* rollouts() { return &rollouts_; }
   Guard* guard() { return &guard_; }
+  PoisonRequests* poison() { return &poison_; }
+  EndpointEnds* ends() { return &ends_; }
   const VersionWatch* watch() const { return &watch_; }
 
   // A planned stop goes on for too long to begin more work: what comes from
@@ -93,6 +96,10 @@
 
   // As text, with the state of this moment.
   std::string MetricsText();
+  // Called after an endpoint has ended by itself.
+  void OnEnds(std::function<void()> callback) {
+    ends_told_ = std::move(callback);
+  }
   // Called before each such text, to set what others know.
   void OnMetrics(std::function<void()> callback) {
     state_gauges_ = std::move(callback);
@@ -110,6 +117,10 @@
   // Whether the request may be taken by its key; fills in its holder.
   Result Admit(const ServiceRoute& route, const CallerRequest& request,
                TimePoint now, KeyHolder* holder) const;
+  void OnEndpointEnd(const EndpointEnd& end);
+  PoisonVerdict JudgeRequest(const RequestDigest& digest,
+                             const std::string& service, TimePoint now) const;
+  void TellPoison();
   void SetRolloutGauges(const RolloutRecord& rollout);
   // A request has ended; `status` is the caller's, 0 when it got none.
   void CountEnd(const std::string& organisation, const std::string& outcome,
@@ -142,6 +153,7 @@
   const EndpointChoice choice_;
   HttpConnections connections_;
   EndpointEnds ends_;
+  PoisonRequests poison_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
   std::set<std::shared_ptr<RelayedRequest>> open_;
@@ -150,6 +162,7 @@
   bool intake_ = true;
   std::set<std::string> told_organisations_;  // those with own counters
   std::function<void()> state_gauges_ = [] {};
+  std::function<void()> ends_told_ = [] {};
 };
 
 }  // namespace leverwick
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -130,7 +130,7 @@
       side_ == Side::kAny && !relay_->rollouts_.TargetOf(service_).empty();
   if (ordered_since) side_ = Side::kBaseline;
   // What a new version failed to answer, the version before it may.
-  if (failed_on_target_) side_ = Side::kBaseline;
+  if (failed_on_target_ || ends_target_) side_ = Side::kBaseline;
   // A target that was found bad meanwhile gets nothing more.
   if (!relay_->rollouts_.MayUseTarget(service_)) side_ = Side::kBaseline;
   WantedEndpoint wanted;
@@ -149,8 +149,39 @@
   return relay_->choice_.Choose(Wanted(model), Clock::now());
 }
 
+// Looked up before each send, since what other boxes have found may have come
+// meanwhile. Not for the sake of this try, which has bounds of its own: a
+// request that ends endpoints comes again under other ids, at any box, and was
+// sent on 23 times after the third end when nothing outlived a try.
+bool RelayedRequest::MaySendOn() {
+  using Kind = PoisonVerdict::Kind;
+  TimePoint now = Clock::now();
+  PoisonVerdict verdict = relay_->JudgeRequest(digest_, service_, now);
+  if (verdict.kind == Kind::kHold) {
+    AnswerHeld(verdict);
+    return false;
+  }
+  ends_target_ = verdict.kind == Kind::kAvoidTarget;
+  if (verdict.kind == Kind::kTrial) {
+    is_trial_ = true;
+    relay_->poison_.TrialBegan(digest_, now);
+    TellTrial(verdict);
+  }
+  return true;
+}
+
+void RelayedRequest::AnswerHeld(const PoisonVerdict& verdict) {
+  if (stream_started_) return BreakStream("stream_broken");
+  if (log_.may_have_run()) return AnswerFailure(Result::kEndsEndpoints);
+  // To come back helps only if a trial is due while the caller still waits.
+  std::optional<milliseconds> come_back_after = verdict.next_trial;
+  bool in_time = come_back_after && *come_back_after < TimeLeft(Clock::now());
+  if (!in_time) come_back_after.reset();
+  AnswerNotRun(Result::kHeld, come_back_after);
+}
+
 void RelayedRequest::Dispatch() {
-  if (finished_) return;
+  if (finished_ || !MaySendOn()) return;
   std::string chosen = ChooseEndpoint(model_);
   const DirectoryEntry* endpoint = relay_->directory_.Find(chosen);
   ++dispatches_;
@@ -205,6 +236,7 @@
   if (answer.succeeded()) relay_->loads_.Began(try_->ticket, Clock::now());
   relay_->loads_.Reached(try_->data_centre);
   relay_->reach_.Answered(try_->endpoint);
+  relay_->poison_.Answered(try_->endpoint, try_->sent_at);
   try_->answer = answer;
   try_->head = head;
   try_->streams =
@@ -223,7 +255,7 @@
 
 bool RelayedRequest::IsTooWeak() {
   const AnswerHead& answer = try_->answer;
-  bool could_ask = request_.any_model && route_.repeatable() &&
+  bool could_ask = request_.any_model && route_.repeatable() && !is_trial_ &&
                    answer.succeeded() && answer.confidence && !stream_started_;
   if (!could_ask) return false;
   double confidence = *answer.confidence / 100.0;
@@ -363,7 +395,7 @@
 }
 
 bool RelayedRequest::MayResend(AttemptOutcome outcome) {
-  if (dispatches_ >= kMostDispatches) return false;
+  if (dispatches_ >= kMostDispatches || is_trial_) return false;
   if (TimeLeft(Clock::now()) < kLeastTime) return false;
   bool first_never_left =
       outcome == AttemptOutcome::kNotSent && log_.attempts() <= 1;
@@ -428,12 +460,17 @@
 }
 
 void RelayedRequest::AnswerNotRun(Result result) {
-  answer_status_ = Info(result).http_status;
   milliseconds come_back_after = kComeBackAfter;
   if (result == Result::kNoEndpoint) {
     come_back_after =
         relay_->choice_.ComeBackAfter(Wanted(model_), Clock::now());
   }
+  AnswerNotRun(result, come_back_after);
+}
+
+void RelayedRequest::AnswerNotRun(Result result,
+                                  std::optional<milliseconds> come_back_after) {
+  answer_status_ = Info(result).http_status;
   relay_->Refuse(exchange_, request_.id, result, come_back_after);
   Finish("not_run");
 }
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -55,6 +55,10 @@
 
  private:
   // Sending.
+  // False when endpoints end under the request and it is sent to none; the
+  // caller has its answer then.
+  bool MaySendOn();
+  void AnswerHeld(const PoisonVerdict& verdict);
   void Dispatch();
   WantedEndpoint Wanted(size_t model);
   std::string ChooseEndpoint(size_t model);
@@ -100,6 +104,7 @@
   void TimeUnended();
   void PassAnswer(HttpHead head, const std::string& body);
   void AnswerNotRun(Result result);
+  void AnswerNotRun(Result result, std::optional<milliseconds> come_back_after);
   void AnswerOwn(Result result);
   // The endpoint's own failure if one came, or else ours.
   void AnswerFailure(Result own_result);
@@ -117,6 +122,8 @@
   // The weak answer is passed on, since that model's would not be whole in
   // time.
   void TellKept(size_t model, const ExpectedTime& begins_in, TimePoint now);
+  // One line for a trial of a held request.
+  void TellTrial(const PoisonVerdict& verdict);
   void TellSurplus(const AnswerHead& answer);
   void TellBroken(const ClientCall::Failure& failure);
   // One line for a try without an answer to pass on, with what comes next.
@@ -142,6 +149,8 @@
   int dispatches_ = 0;
   ServiceRollouts::Side side_ = ServiceRollouts::Side::kAny;
   bool failed_on_target_ = false;  // of a roll-out
+  bool ends_target_ = false;       // ends endpoints of a roll-out's target
+  bool is_trial_ = false;          // of a held request: one send
   size_t model_ = 0;               // index among the route's models
   std::optional<EndpointTry> try_;
   // A stream that is passed on.
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -42,6 +42,14 @@
              {"time_left_ms", std::to_string(TimeLeft(now).count())}});
 }
 
+void RelayedRequest::TellTrial(const PoisonVerdict& verdict) {
+  relay_->metrics_.Add("leverwick_poison_trials_total", "", 1);
+  kLog.Warning("A held request is tried once.",
+               {{"request", request_.id},
+                {"digest", digest_.ShortName()},
+                {"ends", std::to_string(verdict.ends)}});
+}
+
 void RelayedRequest::TellSurplus(const AnswerHead& answer) {
   relay_->metrics_.Add("leverwick_surplus_answers_total", "", 1);
   kLog.Warning("An answer of another request is dropped.",
--- a/leverwick/request_digest.cc
+++ b/leverwick/request_digest.cc
@@ -7,12 +7,26 @@
 #include "leverwick/digest.h"
 
 namespace leverwick {
+namespace {
+
+constexpr size_t kOwnerBytes = 4;
+
+}  // namespace
+
+uint32_t RequestDigest::owner() const {
+  uint32_t owner = 0;
+  for (unsigned char byte : bytes_.substr(0, kOwnerBytes)) {
+    owner = owner << 8 | byte;
+  }
+  return owner;
+}
 
 std::string RequestDigest::ShortName() const {
   static const char kDigits[] = "0123456789abcdef";
   constexpr size_t kNameBytes = 4;
   std::string name;
-  for (unsigned char byte : bytes_.substr(0, kNameBytes)) {
+  if (empty()) return name;
+  for (unsigned char byte : bytes_.substr(kOwnerBytes, kNameBytes)) {
     name += kDigits[byte >> 4];
     name += kDigits[byte & 15];
   }
@@ -26,7 +40,8 @@
     fields += std::to_string(field.size()) + ":";
     fields += field;
   }
-  return RequestDigest(ShortMac(fields, identity.body));
+  std::string owner = ShortDigest(identity.organisation).substr(0, kOwnerBytes);
+  return RequestDigest(owner + ShortMac(fields, identity.body));
 }
 
 }  // namespace leverwick
--- a/leverwick/request_digest.h
+++ b/leverwick/request_digest.h
@@ -10,8 +10,10 @@
 #ifndef LEVERWICK_REQUEST_DIGEST_H_
 #define LEVERWICK_REQUEST_DIGEST_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace leverwick {
 
@@ -23,7 +25,7 @@
   std::string_view body;
 };
 
-// The first 16 bytes of SHA-256. Empty: of no request.
+// Empty: of no request.
 class RequestDigest {
  public:
   RequestDigest() = default;
@@ -31,6 +33,8 @@
 
   const std::string& bytes() const { return bytes_; }
   bool empty() const { return bytes_.empty(); }
+  // A hash of the organisation's name.
+  uint32_t owner() const;
   // Eight hex characters, for log lines.
   std::string ShortName() const;
 
@@ -42,6 +46,7 @@
   }
 
  private:
+  // The owner's hash in four bytes, and the first 16 of SHA-256.
   std::string bytes_;
 };
 
--- a/leverwick/result.h
+++ b/leverwick/result.h
@@ -42,6 +42,7 @@
   kBillsFull = 2008,
   kQueueTimeout = 2009,
   kEndpointRefused = 2010,
+  kHeld = 2011,
   // Ran, or may have run.
   kUnknownOutcome = 3001,
   kFailed = 3002,
@@ -50,6 +51,7 @@
   kInProgress = 3005,
   kKeyOutcomeUnknown = 3006,
   kAnswerNotKept = 3007,
+  kEndsEndpoints = 3008,
   // Changes of the table.
   kStaleRevision = 4001,
   kInvalidRow = 4002,
--- a/leverwick/service_rollouts.cc
+++ b/leverwick/service_rollouts.cc
@@ -257,6 +257,15 @@
   return found == rollouts_.end() || !found->second.IsBad();
 }
 
+bool ServiceRollouts::IsLeft(const std::string& service,
+                             const std::string& version) const {
+  if (IsBad(service, version)) return true;
+  auto found = rollouts_.find(service);
+  return found != rollouts_.end() &&
+         found->second.step == RolloutStep::kCompleted &&
+         version != found->second.target;
+}
+
 bool ServiceRollouts::IsBad(const std::string& service,
                             const std::string& version) const {
   auto found = rollouts_.find(service);
--- a/leverwick/service_rollouts.h
+++ b/leverwick/service_rollouts.h
@@ -156,6 +156,9 @@
   // Whether the version is the target and known bad, or was so before the
   // newest order: its endpoints stay listed for some seconds.
   bool IsBad(const std::string& service, const std::string& version) const;
+  // Whether endpoints of the version end as the operator plans: it was found
+  // bad, or another has taken its place.
+  bool IsLeft(const std::string& service, const std::string& version) const;
   // Whether the target is held against the version before it.
   bool IsWatched(const std::string& service) const;
   // Whether requests are sent to the target by now.
