A held request hides no other, and whole answers prove requests sooner

A whole answer counts once its endpoint is seen alive 0.3 s later, by a call or a connection at rest that is still open; that no news came is not enough.

--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -44,6 +44,21 @@
          !rollouts_->IsLeft(entry->service, entry->version);
 }
 
+bool EndpointEnds::IsAlive(const std::string& endpoint, TimePoint at) const {
+  const DirectoryEntry* entry = directory_->Find(endpoint);
+  return entry != nullptr && (runs_.AnyOpenSince(endpoint, at) ||
+                              connections_->HasIdle(entry->address));
+}
+
+std::vector<EndpointRun> EndpointEnds::TakeSurvived(TimePoint now) {
+  auto is_alive = [this, now](const std::string& endpoint) {
+    // A call that was sent just now may find nobody there.
+    return suspected_.count(endpoint) == 0 &&
+           IsAlive(endpoint, now - RecentRuns::kLivesOn);
+  };
+  return runs_.TakeSurvived(is_alive, now);
+}
+
 void EndpointEnds::Broke(const std::string& endpoint, TimePoint now) {
   if (!IsUnplanned(endpoint)) return;
   if (!suspected_.emplace(endpoint, now).second) return;
@@ -61,9 +76,7 @@
 void EndpointEnds::Look(const std::string& endpoint, TimePoint broke_at) {
   suspected_.erase(endpoint);
   if (!IsUnplanned(endpoint)) return;
-  bool lives = runs_.AnyOpenSince(endpoint, broke_at) ||
-               connections_->HasIdle(directory_->Find(endpoint)->address);
-  if (lives) return;
+  if (IsAlive(endpoint, broke_at)) return;
   Tell(endpoint, broke_at, runs_.TakeUnder(endpoint, broke_at));
 }
 
@@ -75,7 +88,7 @@
 
 void EndpointEnds::Told(const std::string& endpoint, TimePoint ended_at) {
   if (!IsUnplanned(endpoint) || suspected_.count(endpoint) > 0) return;
-  if (runs_.AnyOpenSince(endpoint, ended_at)) return;
+  if (IsAlive(endpoint, ended_at)) return;
   std::vector<EndpointRun> under = runs_.TakeUnder(endpoint, ended_at);
   if (!under.empty()) Tell(endpoint, ended_at, std::move(under));
 }
--- a/daemon/endpoint_ends.h
+++ b/daemon/endpoint_ends.h
@@ -60,11 +60,16 @@
   void Broke(const std::string& endpoint, TimePoint now);
   // The endpoint's address takes no connection.
   void Refused(const std::string& endpoint, TimePoint now);
+  // Runs whose whole answers came and whose endpoints live on.
+  std::vector<EndpointRun> TakeSurvived(TimePoint now);
   // Another box says that the endpoint ended then. Calls of this box that are
   // still open there speak against it.
   void Told(const std::string& endpoint, TimePoint ended_at);
 
  private:
+  // Whether a call that was sent before `at`, or a connection at rest, is open
+  // there.
+  bool IsAlive(const std::string& endpoint, TimePoint at) const;
   // Whether an end would be one that nobody planned.
   bool IsUnplanned(const std::string& endpoint) const;
   // Looks again when the other connections have had time to break.
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -162,7 +162,7 @@
   loads_.Expire(now);
   reach_.Expire(now);
   slow_start_.Expire(now);
-  for (const EndpointRun& run : ends_.runs()->TakeSurvived(now)) {
+  for (const EndpointRun& run : ends_.TakeSurvived(now)) {
     poison_.Survived(run, now);
   }
   poison_.Expire(now);
--- /dev/null
+++ b/daemon/testing/endpoint_ends_test.cc
@@ -0,0 +1,130 @@
+// What is an endpoint's end, and what is a connection that breaks for another
+// reason.
+
+#include "daemon/endpoint_ends.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+#include "net/testing/test_loop.h"
+
+namespace leverwick {
+namespace {
+
+constexpr char kEndpoint[] = "i-1";
+
+RequestDigest Request(const std::string& body) {
+  return DigestOf({"a.example", "/chat/1", "t", body});
+}
+
+// One listed endpoint and two calls to it.
+struct Watched {
+  Watched()
+      : rollouts(RolloutOptions{}),
+        slow_start("a"),
+        directory(&pool, &slow_start),
+        connections(&loop, {}),
+        ends(&loop, &directory, &rollouts, &connections) {
+    List("ready");
+    ends.OnEnded([this](const EndpointEnd& end) { told = end; });
+    first = ends.runs()->Began(Request("first"), kEndpoint, "v1", Clock::now());
+    second =
+        ends.runs()->Began(Request("second"), kEndpoint, "v1", Clock::now());
+  }
+
+  void List(const std::string& state) {
+    DirectoryEntry entry;
+    entry.id = kEndpoint;
+    entry.address = "127.0.0.1:1";
+    entry.service = "p";
+    entry.version = "v1";
+    entry.leaving = state != "ready";
+    directory.Put(entry, Clock::now());
+  }
+  void Break(uint64_t run) {
+    ends.runs()->Ended(kEndpoint, run, RunEnd::kBroken, Clock::now());
+    ends.Broke(kEndpoint, Clock::now());
+  }
+  // After the time in which all connections of an ended endpoint break.
+  void Settle() {
+    TimePoint until = Clock::now() + milliseconds(60);
+    RunUntil(&loop, [&] { return Clock::now() >= until; });
+  }
+
+  boost::asio::io_context loop;
+  EndpointPool pool;
+  ServiceRollouts rollouts;
+  SlowStart slow_start;
+  EndpointDirectory directory;
+  HttpConnections connections;
+  EndpointEnds ends;
+  uint64_t first = 0;
+  uint64_t second = 0;
+  std::optional<EndpointEnd> told;
+};
+
+TEST_CASE("an endpoint whose calls all break has ended") {
+  Watched watched;
+  watched.Break(watched.first);
+  watched.Break(watched.second);
+  watched.Settle();
+  REQUIRE(watched.told);
+  CHECK(watched.told->under.size() == 2);
+}
+
+TEST_CASE("a connection that breaks alone is no end") {
+  Watched watched;
+  watched.Break(watched.first);
+  watched.Settle();
+  CHECK_FALSE(watched.told);
+  // The other call breaks later: that is one.
+  watched.Break(watched.second);
+  watched.Settle();
+  CHECK(watched.told);
+}
+
+TEST_CASE("an endpoint that leaves ends as planned") {
+  Watched watched;
+  watched.List("draining");
+  watched.Break(watched.first);
+  watched.Break(watched.second);
+  watched.Settle();
+  CHECK_FALSE(watched.told);
+}
+
+TEST_CASE("endpoints of a version that a roll-out has left end as planned") {
+  Watched watched;
+  watched.rollouts.Ordered("p", "v2", std::chrono::seconds(10), Clock::now());
+  watched.rollouts.Learned({"p", "v2", RolloutStep::kCompleted}, Clock::now());
+  watched.Break(watched.first);
+  watched.Break(watched.second);
+  watched.Settle();
+  CHECK_FALSE(watched.told);
+}
+
+TEST_CASE("another box's word counts unless calls are still open here") {
+  Watched watched;
+  watched.ends.Told(kEndpoint, Clock::now());
+  CHECK_FALSE(watched.told);
+  for (uint64_t run : {watched.first, watched.second}) {
+    watched.ends.runs()->Ended(kEndpoint, run, RunEnd::kGivenUp, Clock::now());
+  }
+  watched.ends.Told(kEndpoint, Clock::now());
+  REQUIRE(watched.told);
+  CHECK(watched.told->under.size() == 2);
+}
+
+TEST_CASE("a refused connection tells of runs that were given up") {
+  Watched watched;
+  watched.ends.runs()->Ended(kEndpoint, watched.first, RunEnd::kGivenUp,
+                             Clock::now());
+  watched.ends.Refused(kEndpoint, Clock::now());
+  REQUIRE(watched.told);
+  REQUIRE(watched.told->under.size() == 1);
+  CHECK(watched.told->under[0].request == Request("first"));
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/leverwick/poison_requests.cc
+++ b/leverwick/poison_requests.cc
@@ -1,8 +1,8 @@
 // Whether a request is held follows from all strikes that are known, counted
 // anew at each change: changes are rare, and there are a thousand requests at
-// most. Those with the most ends come first and explain them; of several with
-// the same ends, which can't be told apart, all are held until their trials
-// tell. A request that is held stays so until its strikes are taken back.
+// most. No request's ends are put down to another that is held as well: a
+// popular request is under way at every end, and would hide the guilty one
+// while no endpoint is left to prove it sound.
 
 #include "leverwick/poison_requests.h"
 
@@ -41,12 +41,10 @@
 
 }  // namespace
 
-size_t PoisonRequests::EndsOf(const Request& request,
-                              const Endpoints& explained) {
+size_t PoisonRequests::EndsOf(const Request& request) {
   size_t ends = 0;
   TimePoint last{};
   for (const Strike& strike : request.strikes) {
-    if (explained.count(strike.endpoint) > 0) continue;
     bool apart =
         ends == 0 || strike.begin >= last || strike.end - last >= kSameMoment;
     if (!apart) continue;
@@ -107,7 +105,7 @@
   if (found == requests_.end()) return;
   Request& request = found->second;
   // One end alone holds nobody back: the others need not hear of it.
-  if (EndsOf(request, {}) > 1) changed_ = true;
+  if (EndsOf(request) > 1) changed_ = true;
   for (const Strike& strike : std::vector<Strike>(request.strikes)) {
     bool taken_back = strike.version == run.version && strike.end <= now;
     if (taken_back) Refute(&request, strike.endpoint, true);
@@ -141,39 +139,10 @@
   Recount();
 }
 
-bool PoisonRequests::HoldWorst(Endpoints* explained) {
-  size_t most = kMostEnds;
-  std::vector<std::pair<RequestDigest, Request*>> worst;
-  for (auto& [digest, request] : requests_) {
-    if (request.held || request.strikes.size() < most) continue;
-    size_t ends = EndsOf(request, *explained);
-    if (ends < most) continue;
-    if (ends > most) worst.clear();
-    most = ends;
-    worst.emplace_back(digest, &request);
-  }
-  for (auto& [digest, request] : worst) {
-    SetHeld(digest, request, true);
-    for (const Strike& strike : request->strikes) {
-      explained->insert(strike.endpoint);
-    }
-  }
-  return !worst.empty();
-}
-
 void PoisonRequests::Recount() {
-  Endpoints explained;
   for (auto& [digest, request] : requests_) {
-    if (!request.held) continue;
-    if (EndsOf(request, {}) < kMostEnds) {
-      SetHeld(digest, &request, false);
-      continue;
-    }
-    for (const Strike& strike : request.strikes) {
-      explained.insert(strike.endpoint);
-    }
-  }
-  while (HoldWorst(&explained)) {
+    bool held = EndsOf(request) >= kMostEnds;
+    if (held != request.held) SetHeld(digest, &request, held);
   }
 }
 
@@ -211,7 +180,7 @@
   auto found = requests_.find(request);
   if (found == requests_.end() || !found->second.held) return verdict;
   const Request& held = found->second;
-  verdict.ends = EndsOf(held, {});
+  verdict.ends = EndsOf(held);
   bool only_target = true;
   bool versions_left = false;
   for (const Strike& strike : held.strikes) {
@@ -379,8 +348,9 @@
   bool any = false;
   for (auto entry = requests_.begin(); entry != requests_.end();) {
     bool over = now - entry->second.last > kRemembered;
-    if (over && entry->second.held)
+    if (over && entry->second.held) {
       SetHeld(entry->first, &entry->second, false);
+    }
     any = any || over;
     entry = over ? requests_.erase(entry) : std::next(entry);
   }
--- a/leverwick/poison_requests.h
+++ b/leverwick/poison_requests.h
@@ -11,7 +11,6 @@
 //
 //   - an answer whose endpoint lives on takes back its strikes on that version;
 //   - an endpoint that answers a later call has not ended;
-//   - an end that a held request explains is nobody else's;
 //   - ends at the same moment, as of a whole data centre, count as one.
 //
 // What boxes know is merged in any order and any number of times: strikes are
@@ -23,7 +22,7 @@
 //   poison.Survived(run, now);               // a sound answer
 //   PoisonVerdict verdict = poison.Judge(digest, target, is_listed, now);
 //   if (poison.TakeChanged()) Tell(poison.Notes(now));
-//   poison.Merge(notes, written_at);         // what another box tells
+//   poison.Merge(notes, written_at, false);  // what another box tells
 
 #ifndef LEVERWICK_POISON_REQUESTS_H_
 #define LEVERWICK_POISON_REQUESTS_H_
@@ -128,7 +127,6 @@
     TimePoint last{};  // its newest strike or trial
     bool held = false;
   };
-  using Endpoints = std::set<std::string>;
 
   // Whether the strike was news.
   bool Add(const RequestDigest& digest, const Strike& strike);
@@ -139,14 +137,13 @@
   bool TakeBack(const std::string& endpoint, TimePoint at);
   // Holds and lets in what the strikes now say.
   void Recount();
-  // Holds those with the most ends, all of one number; false: there is none.
-  bool HoldWorst(Endpoints* explained);
   void SetHeld(const RequestDigest& digest, Request* request, bool held);
   TimePoint TrialDue(const RequestDigest& digest, const Request& request,
                      bool versions_left) const;
   // Makes room for one more of that owner.
   void Evict(uint32_t owner);
-  static size_t EndsOf(const Request& request, const Endpoints& explained);
+  // Ends that count against it: at one moment there is one.
+  static size_t EndsOf(const Request& request);
 
   const std::string box_;
   std::map<RequestDigest, Request> requests_;
--- a/leverwick/recent_runs.cc
+++ b/leverwick/recent_runs.cc
@@ -80,15 +80,21 @@
   return under;
 }
 
-std::vector<EndpointRun> RecentRuns::TakeSurvived(TimePoint now) {
+std::vector<EndpointRun> RecentRuns::TakeSurvived(
+    const std::function<bool(const std::string&)>& is_alive, TimePoint now) {
   std::vector<EndpointRun> survived;
   for (auto endpoint = runs_.begin(); endpoint != runs_.end();) {
     Runs& runs = endpoint->second;
+    std::optional<bool> alive;  // not known yet
     for (auto entry = runs.begin(); entry != runs.end();) {
       EndpointRun& run = entry->second;
-      bool over = run.end && *run.end + kAftermath + kNewsTakes <= now;
-      if (over && run.how == RunEnd::kWhole) survived.push_back(std::move(run));
-      entry = over ? runs.erase(entry) : std::next(entry);
+      bool due =
+          run.end && run.how == RunEnd::kWhole && now - *run.end >= kLivesOn;
+      if (due && !alive) alive = is_alive(endpoint->first);
+      bool sound = due && *alive;
+      bool over = run.end && now - *run.end > kAftermath;
+      if (sound) survived.push_back(std::move(run));
+      entry = sound || over ? runs.erase(entry) : std::next(entry);
     }
     endpoint = runs.empty() ? runs_.erase(endpoint) : std::next(endpoint);
   }
--- a/leverwick/recent_runs.h
+++ b/leverwick/recent_runs.h
@@ -3,8 +3,9 @@
 // A request that brings its endpoint down does so some time after its run has
 // begun, even if the run was given up meanwhile or had ended well: in a
 // recorded incident 45 to 110 ms after. So a run counts as under way at the
-// endpoint for a second longer than it lasted. And an answer shows that a
-// request does no harm only once its endpoint has lived on for that long.
+// endpoint for a second longer than it lasted. And a whole answer shows
+// that a request does no harm only once its endpoint is seen alive some time
+// after.
 //
 //   RecentRuns runs;
 //   uint64_t run = runs.Began(request, endpoint, version, now);
@@ -12,12 +13,13 @@
 //   if (!runs.AnyOpenSince(endpoint, broke_at)) {
 //     for (const EndpointRun& under : runs.TakeUnder(endpoint, now)) ...
 //   }
-//   for (const EndpointRun& sound : runs.TakeSurvived(now)) ...
+//   for (const EndpointRun& sound : runs.TakeSurvived(is_alive, now)) ...
 
 #ifndef LEVERWICK_RECENT_RUNS_H_
 #define LEVERWICK_RECENT_RUNS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,8 +51,10 @@
   // How long after the end of a run an endpoint's end may be due to it. Nine
   // times the longest that was recorded.
   static constexpr milliseconds kAftermath{1000};
-  // Until the news of an endpoint's end has come from other boxes, too.
-  static constexpr milliseconds kNewsTakes{500};
+  // How long after a whole answer its endpoint must be seen alive. Nearly three
+  // times the longest that was recorded; longer, and a popular request that is
+  // under way wherever endpoints end by chance is not proved sound in time.
+  static constexpr milliseconds kLivesOn{300};
 
   // Returns the number by which the run is named from now on.
   uint64_t Began(const RequestDigest& request, const std::string& endpoint,
@@ -73,9 +77,12 @@
   std::vector<EndpointRun> TakeGivenUp(const std::string& endpoint,
                                        TimePoint ended_at);
 
-  // Runs that came whole and whose endpoints have lived on; what is older is
-  // forgotten.
-  std::vector<EndpointRun> TakeSurvived(TimePoint now);
+  // Runs that came whole and whose endpoints are seen alive since. That nothing
+  // is heard of an end is not enough: the news may be on its way. Forgets what
+  // has ended too long ago.
+  std::vector<EndpointRun> TakeSurvived(
+      const std::function<bool(const std::string& endpoint)>& is_alive,
+      TimePoint now);
 
   size_t size() const;
 
