Poison requests: bounds on memory and on what is told again; exact ends

A box told on what others had told of endpoints that live, and each such word was held against a thousand requests; room for a new request was made one at a time; a request whose last trial is an hour ago was forgotten just when the next was due; a refused connection counted although other calls were open; a record that a store has lost was not told again. Change: each of these; the end's time is taken before the next send.

--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -82,6 +82,7 @@
 
 void EndpointEnds::Refused(const std::string& endpoint, TimePoint now) {
   if (!IsUnplanned(endpoint) || suspected_.count(endpoint) > 0) return;
+  if (IsAlive(endpoint, now)) return;
   std::vector<EndpointRun> under = runs_.TakeGivenUp(endpoint, now);
   if (!under.empty()) Tell(endpoint, now, std::move(under));
 }
--- a/daemon/endpoint_ends.h
+++ b/daemon/endpoint_ends.h
@@ -58,7 +58,7 @@
 
   // The endpoint ended a call's connection; the call's run has ended.
   void Broke(const std::string& endpoint, TimePoint now);
-  // The endpoint's address takes no connection.
+  // The endpoint's address takes no connection; the call has ended.
   void Refused(const std::string& endpoint, TimePoint now);
   // Runs whose whole answers came and whose endpoints live on.
   std::vector<EndpointRun> TakeSurvived(TimePoint now);
--- a/daemon/poison_exchange.cc
+++ b/daemon/poison_exchange.cc
@@ -50,7 +50,13 @@
 }
 
 void PoisonExchange::OnSnapshot(const std::vector<KeyedRecord>& records) {
-  for (const KeyedRecord& record : records) Learn(record, false);
+  bool has_own = false;
+  for (const KeyedRecord& record : records) {
+    has_own = has_own || record.key == box_;
+    Learn(record, false);
+  }
+  // What this box had told is gone.
+  if (!has_own && poison_->size() > 0) due_ = true;
 }
 
 void PoisonExchange::OnRecord(const KeyedRecord& record) {
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -378,20 +378,24 @@
   bool silent = !failure.sent && failure.error == std::errc::timed_out;
   if (silent) relay_->reach_.TimedOut(try_->endpoint, Clock::now());
   relay_->loads_.Failed(try_->ticket, try_->data_centre, Clock::now());
-  NoteBreak(failure);
+  std::string endpoint = try_->endpoint;
+  // Before the next send: a run that begins after an end is not under it.
+  TimePoint broke_at = Clock::now();
   if (try_->streams && IsEndpointsOwn(failure)) {
     relay_->watch_.StreamBroke(Watched(), Clock::now());
   }
   EndTry(failure.sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent);
+  NoteBreak(endpoint, failure, broke_at);
 }
 
-void RelayedRequest::NoteBreak(const ClientCall::Failure& failure) {
-  TimePoint now = Clock::now();
+void RelayedRequest::NoteBreak(const std::string& endpoint,
+                               const ClientCall::Failure& failure,
+                               TimePoint broke_at) {
   bool refused =
       !failure.sent && failure.error == std::errc::connection_refused;
-  if (refused) relay_->ends_.Refused(try_->endpoint, now);
+  if (refused) relay_->ends_.Refused(endpoint, broke_at);
   bool broke = IsEndpointsOwn(failure) && !failure.garbled;
-  if (broke) relay_->ends_.Broke(try_->endpoint, now);
+  if (broke) relay_->ends_.Broke(endpoint, broke_at);
 }
 
 bool RelayedRequest::MayResend(AttemptOutcome outcome) {
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -91,7 +91,8 @@
   void AskLargerModel();
   void OnWholeAnswer();
   // A connection that breaks may mean that the endpoint has ended.
-  void NoteBreak(const ClientCall::Failure& failure);
+  void NoteBreak(const std::string& endpoint,
+                 const ClientCall::Failure& failure, TimePoint broke_at);
   void EndTry(AttemptOutcome outcome);
   bool MayResend(AttemptOutcome outcome);
   // `how` the run ended; nothing: it has not run.
--- a/daemon/testing/endpoint_ends_test.cc
+++ b/daemon/testing/endpoint_ends_test.cc
@@ -120,6 +120,11 @@
   Watched watched;
   watched.ends.runs()->Ended(kEndpoint, watched.first, RunEnd::kGivenUp,
                              Clock::now());
+  // The other call is still open: the way is cut for new ones only.
+  watched.ends.Refused(kEndpoint, Clock::now());
+  CHECK_FALSE(watched.told);
+  watched.ends.runs()->Ended(kEndpoint, watched.second, RunEnd::kWhole,
+                             Clock::now());
   watched.ends.Refused(kEndpoint, Clock::now());
   REQUIRE(watched.told);
   REQUIRE(watched.told->under.size() == 1);
--- a/leverwick/poison_requests.cc
+++ b/leverwick/poison_requests.cc
@@ -7,6 +7,8 @@
 #include "leverwick/poison_requests.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 #include "leverwick/digest.h"
 
@@ -16,6 +18,10 @@
 // Ends this close together may have one cause, such as a power cut, unless a
 // run began after the end before. Boxes tell each other of ends about as late.
 constexpr milliseconds kSameMoment{100};
+// Within which times that notes tell are taken for the same.
+constexpr milliseconds kSameWord{500};
+// Requests that are forgotten together when all places are taken.
+constexpr size_t kEvicted = 64;
 // Strikes that are kept of one request: more than it takes to hold it.
 constexpr size_t kMostStrikes = 8;
 // Endpoints that are remembered as alive, and those a request did not end.
@@ -56,8 +62,8 @@
 
 bool PoisonRequests::Add(const RequestDigest& digest, const Strike& strike) {
   auto lives = lives_.find(strike.endpoint);
-  if (lives != lives_.end() && strike.end <= lives->second) return false;
-  if (requests_.count(digest) == 0) Evict(digest.owner());
+  if (lives != lives_.end() && strike.end <= lives->second.at) return false;
+  if (requests_.count(digest) == 0) Evict();
   Request& request = requests_[digest];
   if (request.refuted.count(strike.endpoint) > 0) return false;
   auto& strikes = request.strikes;
@@ -102,7 +108,7 @@
 
 void PoisonRequests::Survived(const EndpointRun& run, TimePoint now) {
   auto found = requests_.find(run.request);
-  if (found == requests_.end()) return;
+  if (found == requests_.end() || found->second.strikes.empty()) return;
   Request& request = found->second;
   // One end alone holds nobody back: the others need not hear of it.
   if (EndsOf(request) > 1) changed_ = true;
@@ -113,16 +119,19 @@
   Recount();
 }
 
-bool PoisonRequests::TakeBack(const std::string& endpoint, TimePoint at) {
-  TimePoint& alive = lives_[endpoint];
-  alive = std::max(alive, at);
+bool PoisonRequests::TakeBack(const std::string& endpoint, const Life& life) {
+  Life& known = lives_[endpoint];
+  known.own = known.own || life.own;
+  // The same word told again differs by the time that the note took.
+  if (life.at - known.at < kSameWord) return false;
+  known.at = life.at;
   if (lives_.size() > kMostLives) lives_.erase(lives_.begin());
   bool mattered = false;
   for (auto& entry : requests_) {
     auto& strikes = entry.second.strikes;
     auto gone = std::remove_if(
-        strikes.begin(), strikes.end(), [&endpoint, at](const Strike& strike) {
-          return strike.endpoint == endpoint && strike.end <= at;
+        strikes.begin(), strikes.end(), [&](const Strike& strike) {
+          return strike.endpoint == endpoint && strike.end <= life.at;
         });
     if (gone == strikes.end()) continue;
     if (strikes.size() > 1) mattered = true;
@@ -135,7 +144,7 @@
 void PoisonRequests::Answered(const std::string& endpoint, TimePoint sent_at) {
   auto struck = struck_.find(endpoint);
   if (struck == struck_.end() || sent_at <= struck->second) return;
-  if (TakeBack(endpoint, sent_at)) changed_ = true;
+  if (TakeBack(endpoint, {sent_at, true})) changed_ = true;
   Recount();
 }
 
@@ -227,57 +236,60 @@
   return changed;
 }
 
+bool PoisonRequests::IsOwn(const Request& request) {
+  auto own = [](const auto& part) { return part.own; };
+  const auto& strikes = request.strikes;
+  const auto& trials = request.trials;
+  return std::any_of(strikes.begin(), strikes.end(), own) ||
+         std::any_of(trials.begin(), trials.end(), own) ||
+         std::any_of(request.refuted.begin(), request.refuted.end(),
+                     [](const auto& refuted) { return refuted.second; });
+}
+
+void PoisonRequests::AddTo(PoisonNotes* notes, const RequestDigest& digest,
+                           const Request& request, TimePoint now) const {
+  StruckRequest* told = notes->add_requests();
+  told->set_digest(digest.bytes());
+  for (const Strike& strike : request.strikes) {
+    if (!strike.own) continue;
+    EndpointStrike* out = told->add_strikes();
+    out->set_endpoint(strike.endpoint);
+    out->set_version(strike.version);
+    out->set_age_ms(AgeMs(strike.end, now));
+    out->set_run_ms(AgeMs(strike.begin, strike.end));
+  }
+  for (const auto& [endpoint, own] : request.refuted) {
+    if (own) told->add_refuted(endpoint);
+  }
+  for (const Trial& trial : request.trials) {
+    if (trial.own) told->add_trial_ages_ms(AgeMs(trial.at, now));
+  }
+}
+
 PoisonNotes PoisonRequests::Notes(TimePoint now, WallTime wall) const {
   PoisonNotes notes;
   notes.set_written_at_ms(SinceEpoch(wall).count());
   // Those with the most ends first; of the same number the newest, and of one
   // end those whose run had begun last.
-  struct Told {
-    const RequestDigest* digest;
-    const Request* request;
-    TimePoint last_begin;
-  };
-  std::vector<Told> told;
+  using Rank = std::pair<size_t, TimePoint>;
+  std::multimap<Rank, const RequestDigest*, std::greater<>> own;
   for (const auto& [digest, request] : requests_) {
-    bool own = false;
+    if (!IsOwn(request)) continue;
     TimePoint last_begin{};
     for (const Strike& strike : request.strikes) {
-      own = own || strike.own;
       last_begin = std::max(last_begin, strike.begin);
     }
-    for (const auto& refuted : request.refuted) own = own || refuted.second;
-    for (const Trial& trial : request.trials) own = own || trial.own;
-    if (own) told.push_back({&digest, &request, last_begin});
+    own.emplace(Rank(request.strikes.size(), last_begin), &digest);
   }
-  std::sort(told.begin(), told.end(), [](const Told& a, const Told& b) {
-    size_t a_ends = a.request->strikes.size();
-    size_t b_ends = b.request->strikes.size();
-    if (a_ends != b_ends) return a_ends > b_ends;
-    return a.last_begin > b.last_begin;
-  });
-  if (told.size() > kMostTold) told.resize(kMostTold);
-  for (const Told& one : told) {
-    StruckRequest* request = notes.add_requests();
-    request->set_digest(one.digest->bytes());
-    for (const Strike& strike : one.request->strikes) {
-      if (!strike.own) continue;
-      EndpointStrike* out = request->add_strikes();
-      out->set_endpoint(strike.endpoint);
-      out->set_version(strike.version);
-      out->set_age_ms(AgeMs(strike.end, now));
-      out->set_run_ms(AgeMs(strike.begin, strike.end));
-    }
-    for (const auto& [endpoint, own] : one.request->refuted) {
-      if (own) request->add_refuted(endpoint);
-    }
-    for (const Trial& trial : one.request->trials) {
-      if (trial.own) request->add_trial_ages_ms(AgeMs(trial.at, now));
-    }
+  for (const auto& ranked : own) {
+    if (notes.requests_size() == kMostTold) break;
+    AddTo(&notes, *ranked.second, requests_.at(*ranked.second), now);
   }
-  for (const auto& [endpoint, alive] : lives_) {
-    EndpointLife* life = notes.add_lives();
-    life->set_endpoint(endpoint);
-    life->set_age_ms(AgeMs(alive, now));
+  for (const auto& [endpoint, life] : lives_) {
+    if (!life.own) continue;
+    EndpointLife* out = notes.add_lives();
+    out->set_endpoint(endpoint);
+    out->set_age_ms(AgeMs(life.at, now));
   }
   return notes;
 }
@@ -287,7 +299,7 @@
                                                        bool own) {
   std::map<std::string, TimePoint> ended;
   for (const EndpointLife& life : notes.lives()) {
-    TakeBack(life.endpoint(), written_at - milliseconds(life.age_ms()));
+    TakeBack(life.endpoint(), {written_at - milliseconds(life.age_ms()), own});
   }
   for (const StruckRequest& told : notes.requests()) {
     RequestDigest digest(told.digest());
@@ -318,49 +330,52 @@
   return news;
 }
 
-void PoisonRequests::Evict(uint32_t owner) {
+void PoisonRequests::Forget(const RequestDigest& digest) {
+  auto found = requests_.find(digest);
+  if (found->second.held) --held_;
+  requests_.erase(found);
+}
+
+void PoisonRequests::Evict() {
   if (requests_.size() < kMostRequests) return;
   // Whoever has the most gives way; among its own the least suspected, and of
   // those the oldest. So nobody's flood makes others' strikes forgotten.
   std::map<uint32_t, size_t> counts;
   for (const auto& entry : requests_) ++counts[entry.first.owner()];
-  ++counts[owner];
-  auto largest = std::max_element(counts.begin(), counts.end(),
-                                  [](const auto& a, const auto& b) {
-                                    return a.second < b.second;
-                                  })
-                     ->first;
-  auto victim = requests_.end();
-  auto rank = [](const Request& request) {
-    return std::make_pair(request.strikes.size(), request.last);
-  };
-  for (auto entry = requests_.begin(); entry != requests_.end(); ++entry) {
-    if (entry->first.owner() != largest) continue;
-    bool first = victim == requests_.end();
-    if (first || rank(entry->second) < rank(victim->second)) victim = entry;
+  auto fewer = [](const auto& a, const auto& b) { return a.second < b.second; };
+  uint32_t largest =
+      std::max_element(counts.begin(), counts.end(), fewer)->first;
+  using Rank = std::pair<size_t, TimePoint>;
+  std::multimap<Rank, RequestDigest> ranked;
+  for (const auto& [digest, request] : requests_) {
+    if (digest.owner() != largest) continue;
+    ranked.emplace(Rank(request.strikes.size(), request.last), digest);
+  }
+  size_t left = std::min(kEvicted, (ranked.size() + 1) / 2);
+  for (const auto& entry : ranked) {
+    if (left-- == 0) break;
+    Forget(entry.second);
   }
-  if (victim == requests_.end()) return;
-  if (victim->second.held) --held_;
-  requests_.erase(victim);
 }
 
 void PoisonRequests::Expire(TimePoint now) {
-  bool any = false;
-  for (auto entry = requests_.begin(); entry != requests_.end();) {
-    bool over = now - entry->second.last > kRemembered;
-    if (over && entry->second.held) {
-      SetHeld(entry->first, &entry->second, false);
-    }
-    any = any || over;
-    entry = over ? requests_.erase(entry) : std::next(entry);
+  std::vector<RequestDigest> over;
+  for (auto& [digest, request] : requests_) {
+    if (now - request.last > kRemembered) over.push_back(digest);
   }
-  for (auto* times : {&struck_, &lives_}) {
-    for (auto entry = times->begin(); entry != times->end();) {
-      bool over = now - entry->second > kRemembered;
-      entry = over ? times->erase(entry) : std::next(entry);
-    }
+  for (const RequestDigest& digest : over) {
+    Request& request = requests_[digest];
+    if (request.held) SetHeld(digest, &request, false);
+    Forget(digest);
   }
-  if (any) Recount();
+  auto drop = [now](auto* map, auto time_of) {
+    for (auto entry = map->begin(); entry != map->end();) {
+      bool old = now - time_of(entry->second) > kRemembered;
+      entry = old ? map->erase(entry) : std::next(entry);
+    }
+  };
+  drop(&struck_, [](TimePoint at) { return at; });
+  drop(&lives_, [](const Life& life) { return life.at; });
 }
 
 }  // namespace leverwick
--- a/leverwick/poison_requests.h
+++ b/leverwick/poison_requests.h
@@ -70,8 +70,10 @@
   static constexpr size_t kMostRequests = 1024;
   // Requests that a box tells others of; some 100 bytes each.
   static constexpr size_t kMostTold = 64;
-  // How long after its last end or trial a request is remembered.
-  static constexpr std::chrono::hours kRemembered{1};
+  // How long after its last end or trial a request is remembered: longer than
+  // the longest pause between trials, so that one which is still asked for is
+  // not forgotten.
+  static constexpr std::chrono::hours kRemembered{2};
 
   explicit PoisonRequests(std::string box) : box_(std::move(box)) {}
 
@@ -120,6 +122,10 @@
     TimePoint at{};
     bool own = false;
   };
+  struct Life {
+    TimePoint at{};    // when the endpoint is known to have been alive
+    bool own = false;  // seen by this box
+  };
   struct Request {
     std::vector<Strike> strikes;
     std::map<std::string, bool> refuted;  // by endpoint; true: by this box
@@ -132,16 +138,19 @@
   bool Add(const RequestDigest& digest, const Strike& strike);
   void Refute(Request* request, const std::string& endpoint, bool own);
   void AddTrial(Request* request, TimePoint at, bool own);
-  // The endpoint was alive at `at`: takes back all its strikes before; whether
-  // one of them mattered.
-  bool TakeBack(const std::string& endpoint, TimePoint at);
+  // Takes back all strikes of the endpoint before that; whether one mattered.
+  bool TakeBack(const std::string& endpoint, const Life& life);
   // Holds and lets in what the strikes now say.
   void Recount();
   void SetHeld(const RequestDigest& digest, Request* request, bool held);
   TimePoint TrialDue(const RequestDigest& digest, const Request& request,
                      bool versions_left) const;
-  // Makes room for one more of that owner.
-  void Evict(uint32_t owner);
+  // Makes room when all places are taken.
+  void Evict();
+  void Forget(const RequestDigest& digest);
+  void AddTo(PoisonNotes* notes, const RequestDigest& digest,
+             const Request& request, TimePoint now) const;
+  static bool IsOwn(const Request& request);
   // Ends that count against it: at one moment there is one.
   static size_t EndsOf(const Request& request);
 
@@ -149,8 +158,7 @@
   std::map<RequestDigest, Request> requests_;
   // Endpoints that strikes name, and when they are last thought to have ended.
   std::map<std::string, TimePoint> struck_;
-  // When those that answered after that are known to have been alive.
-  std::map<std::string, TimePoint> lives_;
+  std::map<std::string, Life> lives_;  // those that answered after that
   std::vector<PoisonNews> news_;
   size_t held_ = 0;
   bool changed_ = false;
