Ends are noticed at rest and by busy boxes; a target's ends count apart

Cause: reading. An endpoint that ended after a whole answer, with nothing else under way, was noticed by nobody; a box that is slow to get to forty breaks took the calls it had not got to for open ones; and a request that had ended three endpoints of a roll-out's target and one of the version before was held on both. Change: a connection at rest that closes starts a look; there are four looks, 25 ms apart, while calls are open; ends on the target are left out of the count that holds a request on the version before.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -117,6 +117,15 @@
   return found == entries_.end() ? nullptr : &found->second.entry;
 }
 
+const DirectoryEntry* EndpointDirectory::FindAt(
+    const std::string& address) const {
+  for (const auto& known : entries_) {
+    const DirectoryEntry& entry = known.second.entry;
+    if (entry.address == address && !known.second.gone) return &entry;
+  }
+  return nullptr;
+}
+
 std::set<std::string> EndpointDirectory::VersionsOf(
     const std::string& service) const {
   std::set<std::string> versions;
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -69,6 +69,8 @@
   void Expire(TimePoint now);
 
   const DirectoryEntry* Find(const std::string& id) const;
+  // The endpoint that is listed at an address; null: none.
+  const DirectoryEntry* FindAt(const std::string& address) const;
   // Versions of a service's endpoints that are not leaving.
   std::set<std::string> VersionsOf(const std::string& service) const;
   // Whether at least half of a version's endpoints will be warm at `when`.
--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -17,6 +17,8 @@
 // incident up to 48 of them did within 7 ms, on seven boxes. The rest is for
 // endpoints in another region, 8 ms away.
 constexpr milliseconds kAllBreakWithin{25};
+// A busy box of an eighth of a core gets to some of forty breaks only later.
+constexpr int kLooks = 4;
 // For the answer to one opening packet, lost once, in another region.
 constexpr milliseconds kProbeTime{400};
 // Requests that one line names.
@@ -41,6 +43,24 @@
 
 }  // namespace
 
+EndpointEnds::EndpointEnds(boost::asio::io_context* loop,
+                           const EndpointDirectory* directory,
+                           const ServiceRollouts* rollouts,
+                           HttpConnections* connections)
+    : loop_(loop),
+      directory_(directory),
+      rollouts_(rollouts),
+      connections_(connections) {
+  connections_->OnRestClosed(
+      [this](const std::string& address) { RestClosed(address); });
+}
+
+void EndpointEnds::RestClosed(const std::string& address) {
+  const DirectoryEntry* entry = directory_->FindAt(address);
+  if (entry == nullptr || !runs_.HasAny(entry->id)) return;
+  Broke(entry->id, Clock::now());
+}
+
 bool EndpointEnds::IsUnplanned(const std::string& endpoint) const {
   const DirectoryEntry* entry = directory_->Find(endpoint);
   return entry != nullptr && !entry->leaving &&
@@ -65,21 +85,25 @@
 void EndpointEnds::Broke(const std::string& endpoint, TimePoint now) {
   if (!IsUnplanned(endpoint)) return;
   if (!suspected_.emplace(endpoint, now).second) return;
-  LookSoon(endpoint, now);
+  LookSoon(endpoint, now, kLooks);
 }
 
-void EndpointEnds::LookSoon(const std::string& endpoint, TimePoint broke_at) {
+void EndpointEnds::LookSoon(const std::string& endpoint, TimePoint broke_at,
+                            int looks) {
   auto timer =
       std::make_shared<boost::asio::steady_timer>(*loop_, kAllBreakWithin);
-  timer->async_wait([this, timer, endpoint, broke_at](auto error) {
-    if (!error) Look(endpoint, broke_at);
+  timer->async_wait([this, timer, endpoint, broke_at, looks](auto error) {
+    if (!error) Look(endpoint, broke_at, looks - 1);
   });
 }
 
-void EndpointEnds::Look(const std::string& endpoint, TimePoint broke_at) {
-  if (IsUnplanned(endpoint) && !IsAlive(endpoint, broke_at)) {
+void EndpointEnds::Look(const std::string& endpoint, TimePoint broke_at,
+                        int looks) {
+  bool unplanned = IsUnplanned(endpoint);
+  if (unplanned && !IsAlive(endpoint, broke_at)) {
     return Probe(endpoint, broke_at);
   }
+  if (unplanned && looks > 0) return LookSoon(endpoint, broke_at, looks);
   suspected_.erase(endpoint);
 }
 
--- a/daemon/endpoint_ends.h
+++ b/daemon/endpoint_ends.h
@@ -44,14 +44,10 @@
  public:
   using Callback = std::function<void(const EndpointEnd&)>;
 
+  // The directory, the roll-outs and the connections must outlive this.
   EndpointEnds(boost::asio::io_context* loop,
                const EndpointDirectory* directory,
-               const ServiceRollouts* rollouts,
-               const HttpConnections* connections)
-      : loop_(loop),
-        directory_(directory),
-        rollouts_(rollouts),
-        connections_(connections) {}
+               const ServiceRollouts* rollouts, HttpConnections* connections);
 
   void OnEnded(Callback callback) { on_ended_ = std::move(callback); }
 
@@ -74,9 +70,12 @@
   bool IsAlive(const std::string& endpoint, TimePoint at) const;
   // Whether an end would be one that nobody planned.
   bool IsUnplanned(const std::string& endpoint) const;
-  // Looks again when the other connections have had time to break.
-  void LookSoon(const std::string& endpoint, TimePoint broke_at);
-  void Look(const std::string& endpoint, TimePoint broke_at);
+  // A connection at rest closes: an endpoint may end after a whole answer.
+  void RestClosed(const std::string& address);
+  // Looks when the other connections have had time to break; so many times
+  // while some are open.
+  void LookSoon(const std::string& endpoint, TimePoint broke_at, int looks);
+  void Look(const std::string& endpoint, TimePoint broke_at, int looks);
   // Asks for a connection.
   void Probe(const std::string& endpoint, TimePoint broke_at);
   void Tell(const std::string& endpoint, TimePoint at,
@@ -85,7 +84,7 @@
   boost::asio::io_context* const loop_;
   const EndpointDirectory* const directory_;
   const ServiceRollouts* const rollouts_;
-  const HttpConnections* const connections_;
+  HttpConnections* const connections_;
   RecentRuns runs_;
   std::map<std::string, TimePoint> suspected_;  // when a connection broke
   Callback on_ended_ = [](const EndpointEnd&) {};
--- a/leverwick/poison_requests.cc
+++ b/leverwick/poison_requests.cc
@@ -47,10 +47,12 @@
 
 }  // namespace
 
-size_t PoisonRequests::EndsOf(const Request& request) {
+size_t PoisonRequests::EndsOf(const Request& request,
+                              const std::string& but_version) {
   size_t ends = 0;
   TimePoint last{};
   for (const Strike& strike : request.strikes) {
+    if (!but_version.empty() && strike.version == but_version) continue;
     bool apart =
         ends == 0 || strike.begin >= last || strike.end - last >= kSameMoment;
     if (!apart) continue;
@@ -196,16 +198,13 @@
   if (found == requests_.end() || !found->second.held) return verdict;
   const Request& held = found->second;
   verdict.ends = EndsOf(held);
-  bool only_target = true;
-  bool versions_left = false;
-  for (const Strike& strike : held.strikes) {
-    only_target = only_target && strike.version == target;
-    versions_left = versions_left || is_listed(strike.version);
-  }
-  if (only_target) {
+  if (!target.empty() && EndsOf(held, target) < kMostEnds) {
     verdict.kind = PoisonVerdict::Kind::kAvoidTarget;
     return verdict;
   }
+  bool versions_left =
+      std::any_of(held.strikes.begin(), held.strikes.end(),
+                  [&](const Strike& s) { return is_listed(s.version); });
   verdict.kind = PoisonVerdict::Kind::kHold;
   if (!in_touch_) return verdict;
   TimePoint due = TrialDue(request, held, versions_left);
--- a/leverwick/poison_requests.h
+++ b/leverwick/poison_requests.h
@@ -156,7 +156,9 @@
              const Request& request, TimePoint now) const;
   static bool IsOwn(const Request& request);
   // Ends that count against it: at one moment there is one.
-  static size_t EndsOf(const Request& request);
+  // Those of one version, if that is not empty, are left out.
+  static size_t EndsOf(const Request& request,
+                       const std::string& but_version = "");
 
   const std::string box_;
   std::map<RequestDigest, Request> requests_;
--- a/leverwick/recent_runs.h
+++ b/leverwick/recent_runs.h
@@ -64,6 +64,10 @@
   void Ended(const std::string& endpoint, uint64_t run, RunEnd how,
              TimePoint now);
 
+  // Whether the endpoint's end might be due to a run of this box.
+  bool HasAny(const std::string& endpoint) const {
+    return runs_.count(endpoint) > 0;
+  }
   // Whether a run that had begun before `broke_at` is still under way: the
   // endpoint has not ended then.
   bool AnyOpenSince(const std::string& endpoint, TimePoint broke_at) const;
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -125,7 +125,7 @@
 
   void OnClosed(std::error_code why) override {
     auto self = shared_from_this();
-    if (call_ == nullptr) return owner_->DropIdle(this);
+    if (call_ == nullptr) return owner_->RestClosed(this);
     if (!why && reader_.any_read() && !dropping_ && reader_.Closed()) {
       reusable_ = false;
       return Complete();
@@ -251,6 +251,12 @@
   kept.push_back(connection);
 }
 
+void HttpConnections::RestClosed(ClientConnection* connection) {
+  std::string address = connection->address();
+  DropIdle(connection);
+  rest_closed_(address);
+}
+
 void HttpConnections::DropIdle(ClientConnection* connection) {
   auto found = idle_.find(connection->address());
   if (found == idle_.end()) return;
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -88,6 +89,11 @@
                                    std::string request,
                                    ClientCall::Observer* observer);
 
+  // Called when the other side closes a connection at rest.
+  void OnRestClosed(std::function<void(const std::string& address)> callback) {
+    rest_closed_ = std::move(callback);
+  }
+
   uint64_t opened() const { return opened_; }
   size_t idle() const;
   // Whether a connection to the address is open and at rest.
@@ -99,6 +105,7 @@
   std::shared_ptr<ClientConnection> TakeIdle(const std::string& address);
   void Keep(const std::shared_ptr<ClientConnection>& connection);
   void DropIdle(ClientConnection* connection);
+  void RestClosed(ClientConnection* connection);
   void Connect(const std::string& address,
                const std::shared_ptr<ClientCall>& call);
 
@@ -106,6 +113,8 @@
   const HttpConnectionsOptions options_;
   std::map<std::string, std::deque<std::shared_ptr<ClientConnection>>> idle_;
   uint64_t opened_ = 0;
+  std::function<void(const std::string& address)> rest_closed_ =
+      [](const std::string&) {};
 };
 
 }  // namespace leverwick
