A comment names the source of a bound

Cause: the bound on remembered runs named a figure that no run had given. Change: it names the places and the queue of the users' engines. Measured: nothing; a comment only, formatted.

--- a/leverwick/recent_runs.h
+++ b/leverwick/recent_runs.h
@@ -93,8 +93,8 @@
  private:
   using Runs = std::map<uint64_t, EndpointRun>;  // by number, in order of begin
 
-  // Ended runs that are kept of one endpoint at most: a second of the busiest
-  // one in the users' deployments, thrice.
+  // Runs that are kept of one endpoint at most, unless more are under way: its
+  // 64 places and 134 in its queue, in the users' deployments, and some more.
   static constexpr size_t kMostEach = 256;
 
   std::map<std::string, Runs> runs_;  // by endpoint
