--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -50,6 +50,10 @@
   bool other_endpoint = false;  // the address belongs to another one now
   bool event_stream = false;
   std::optional<int> confidence;  // of the model in its answer, in percent
+  // Requests a second that it takes from all boxes together; unset: it names
+  // no limit, or one that can't be read.
+  std::optional<double> most_per_second;
+  bool limit_unreadable = false;
   bool succeeded() const { return status >= 200 && status < 300; }
 };
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -26,6 +26,7 @@
 #include "daemon/endpoint_ends.h"
 #include "daemon/version_watch.h"
 #include "leverwick/endpoint_choice.h"
+#include "leverwick/endpoint_limits.h"
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/escalation.h"
@@ -121,6 +122,13 @@
   PoisonVerdict JudgeRequest(const RequestDigest& digest,
                              const std::string& service, TimePoint now) const;
   void TellPoison();
+  // What an answer to a request sent at `sent_at` says of the endpoint's limit.
+  void HearLimit(const std::string& endpoint, const AnswerHead& answer,
+                 TimePoint sent_at, TimePoint now);
+  // Of endpoints that are no longer listed.
+  void ForgetLimits(TimePoint now);
+  void TellLimit(const std::string& endpoint, EndpointLimits::Change change,
+                 TimePoint now);
   void SetRolloutGauges(const RolloutRecord& rollout);
   // A request has ended; `status` is the caller's, 0 when it got none.
   void CountEnd(const std::string& organisation, const std::string& outcome,
@@ -139,6 +147,7 @@
   EndpointPool pool_;
   DrainedDataCentres drained_;
   SlowStart slow_start_;
+  EndpointLimits limits_;
   EndpointDirectory directory_;
   ReadProof proof_;
   const KeyTrust& key_trust_;
@@ -160,6 +169,7 @@
   std::mt19937_64 random_;
   RequestSampler sampler_;
   bool intake_ = true;
+  TimePoint limit_told_at_{};                 // the last line on a limit
   std::set<std::string> told_organisations_;  // those with own counters
   std::function<void()> state_gauges_ = [] {};
   std::function<void()> ends_told_ = [] {};
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -239,6 +239,7 @@
   // The word of another one at its address says that it has ended.
   if (!answer.other_endpoint) {
     relay_->poison_.Answered(try_->endpoint, try_->sent_at);
+    relay_->HearLimit(try_->endpoint, answer, try_->sent_at, Clock::now());
   }
   try_->answer = answer;
   try_->head = head;
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -117,6 +117,8 @@
   // Logs and metrics; in relayed_request_log.cc.
   static constexpr char kAnswered[] = "answered";  // an outcome of Finish
   std::string LastEvent() const;
+  // The limit that the endpoint names, and how long ago it last did.
+  std::string NamedLimitText() const;
   std::string TryStatus() const;
   // One line for a send, with what chose the endpoint.
   void TellSend(const DirectoryEntry& endpoint);
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -19,6 +19,15 @@
   return events_.last_id().empty() ? "none" : events_.last_id();
 }
 
+std::string RelayedRequest::NamedLimitText() const {
+  const NamedLimit* limit = relay_->limits_.Find(try_->endpoint);
+  if (limit == nullptr) return "none";
+  auto age =
+      std::chrono::duration_cast<milliseconds>(try_->sent_at - limit->named_at);
+  return std::to_string(limit->per_second) + "/s," +
+         std::to_string(age.count()) + "ms";
+}
+
 std::string RelayedRequest::TryStatus() const {
   bool answered = try_ && try_->has_head;
   return answered ? std::to_string(try_->answer.status) : "none";
@@ -122,6 +131,7 @@
        {"model", chosen_model().empty() ? "given" : chosen_model()},
        {"own_requests", std::to_string(relay_->pool_.OwnRequests(endpoint.id))},
        {"after_event", LastEvent()},
+       {"named_limit", NamedLimitText()},
        {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
        {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())},
        {"digest", digest_.ShortName()}});
--- /dev/null
+++ b/leverwick/testing/endpoint_limits_test.cc
@@ -0,0 +1,53 @@
+#include "leverwick/endpoint_limits.h"
+
+#include <doctest/doctest.h>
+
+namespace leverwick {
+namespace {
+
+using Change = EndpointLimits::Change;
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+TimePoint At(int ms) { return kStart + milliseconds(ms); }
+
+TEST_CASE("a limit holds from the answer that names it") {
+  EndpointLimits limits;
+  CHECK(limits.Find("a") == nullptr);
+  CHECK(limits.Named("a", 2, At(0)) == Change::kBegan);
+  CHECK(limits.Named("a", 2, At(10)) == Change::kNothing);
+  CHECK(limits.Named("a", 1.5, At(20)) == Change::kOther);
+  REQUIRE(limits.Find("a") != nullptr);
+  CHECK(limits.Find("a")->per_second == 1.5);
+  CHECK(limits.Find("b") == nullptr);
+}
+
+TEST_CASE("an answer ends a limit only if it was surely written later") {
+  EndpointLimits limits;
+  limits.Named("a", 2, At(100));
+  // Sent before the limit came: the answer may be older than the limit.
+  CHECK(limits.NotNamed("a", At(50)) == Change::kNothing);
+  CHECK(limits.Find("a") != nullptr);
+  CHECK(limits.NotNamed("a", At(101)) == Change::kEnded);
+  CHECK(limits.Find("a") == nullptr);
+}
+
+TEST_CASE("news of other boxes that is older than the end changes nothing") {
+  EndpointLimits limits;
+  limits.Named("a", 2, At(100));
+  limits.NotNamed("a", At(200));
+  CHECK(limits.Named("a", 2, At(150)) == Change::kNothing);
+  CHECK(limits.Named("a", 3, At(300)) == Change::kBegan);
+  CHECK(limits.Named("a", 2, At(250)) == Change::kNothing);
+  CHECK(limits.Find("a")->per_second == 3);
+}
+
+TEST_CASE("a limit lasts until its end, an end until its news is old") {
+  EndpointLimits limits;
+  limits.Named("a", 2, At(0));
+  limits.Expire(At(3600 * 1000));
+  CHECK(limits.Find("a") != nullptr);
+  limits.Forget("a");
+  CHECK_FALSE(limits.any());
+}
+
+}  // namespace
+}  // namespace leverwick
