Limits that endpoints name are kept by all boxes together

Callers' requests went to an endpoint that had named 1.8 and 2.3 a second as before: 18 and 21 in 4 s, 16 and 19 allowed. Nothing read the limit, and no box could keep it alone, since it is one sum over all boxes and no box sent more than the limit by itself.

A limit is now dealt out by two boxes each endpoint, half each, found by rendezvous hash with boxes of the endpoint's data centre first. A send needs a permit of one of them, asked for by datagram. Where another endpoint takes the request it goes there at once and the permit serves the next one; where none does it asks for up to 100 ms and is then refused as not run (2012), with a time to come back that is spread. News of a limit and of its end goes to all boxes once. A box that is new in the list of boxes grants nothing until all others have read it: in the reproduction three boxes that had read an empty list each dealt out the whole limit (33 of 23).

--- a/daemon/load_exchange.cc
+++ b/daemon/load_exchange.cc
@@ -1,19 +1,13 @@
 // Notes are gathered until the first has waited for some milliseconds, or the
-// datagram is full. A datagram that can't be sent or read is counted and costs
-// nothing but accuracy.
+// datagram is full.
 
 #include "daemon/load_exchange.h"
 
 #include <random>
 
-#include "net/log.h"
-#include "net/tcp_connection.h"
-
 namespace leverwick {
 namespace {
 
-const Log kLog("loads");
-
 // How long a note waits for others: well below the 40 ms that the shortest
 // prompts take to be read, so that the news is not older than the prompt.
 constexpr milliseconds kGather{10};
@@ -24,65 +18,36 @@
 }  // namespace
 
 LoadExchange::LoadExchange(boost::asio::io_context* loop, EngineLoads* loads,
-                           Metrics* metrics, std::string data_centre,
+                           PeerDatagrams* datagrams, std::string data_centre,
                            size_t most_far)
     : loads_(loads),
-      metrics_(metrics),
+      datagrams_(datagrams),
       data_centre_(std::move(data_centre)),
       most_far_(most_far),
-      socket_(*loop),
       timer_(*loop) {
   notes_.set_life(std::random_device{}());
 }
 
 LoadExchange::~LoadExchange() { loads_->Observe(nullptr); }
 
-std::error_code LoadExchange::Start(
-    const boost::asio::ip::udp::endpoint& address) {
-  boost::system::error_code error;
-  socket_.open(address.protocol(), error);
-  if (!error) socket_.bind(address, error);
-  if (!error) socket_.non_blocking(true, error);
-  if (error) return error;
+void LoadExchange::Start() {
   loads_->Observe(this);
-  Receive();
-  return {};
+  datagrams_->AddListener(this);
 }
 
-void LoadExchange::SetBoxes(const std::vector<FleetBox>& boxes) {
-  std::vector<Address> near;
-  std::vector<Address> far;
-  for (const FleetBox& box : boxes) {
-    boost::asio::ip::tcp::endpoint address;
-    if (!ParseAddress(box.address, &address)) {
-      kLog.Error("A box's address can't be read.", {{"box", box.name}});
-      continue;
-    }
-    auto& group = box.data_centre == data_centre_ ? near : far;
-    group.emplace_back(address.address(), address.port());
+void LoadExchange::SetBoxes(const std::vector<PeerDatagrams::Peer>& boxes) {
+  std::vector<PeerDatagrams::Address> far;
+  told_.clear();
+  for (const PeerDatagrams::Peer& box : boxes) {
+    auto& group = box.data_centre == data_centre_ ? told_ : far;
+    group.push_back(box.address);
   }
-  told_ = std::move(near);
   if (far.size() <= most_far_)
     told_.insert(told_.end(), far.begin(), far.end());
 }
 
-void LoadExchange::Receive() {
-  socket_.async_receive_from(
-      boost::asio::buffer(buffer_), sender_,
-      [this](boost::system::error_code error, size_t size) {
-        if (error == boost::asio::error::operation_aborted) return;
-        // An error is that of a datagram sent before, to a box that is gone.
-        if (!error) Learn(size);
-        Receive();
-      });
-}
-
-void LoadExchange::Learn(size_t size) {
-  LoadNotes notes;
-  bool readable = notes.ParseFromArray(buffer_.data(), static_cast<int>(size));
-  metrics_->Add("leverwick_load_notes_total",
-                readable ? "result=\"heard\"" : "result=\"unreadable\"", 1);
-  if (!readable) return;
+void LoadExchange::OnNotes(const PeerNotes& notes,
+                           const PeerDatagrams::Address&) {
   TimePoint now = Clock::now();
   for (const PromptNote& note : notes.sent()) {
     SentPrompt prompt;
@@ -124,15 +89,9 @@
 
 void LoadExchange::Send() {
   if (notes_.sent().empty() && notes_.read().empty()) return;
-  std::string bytes = notes_.SerializeAsString();
+  for (const PeerDatagrams::Address& box : told_) datagrams_->Send(notes_, box);
   notes_.clear_sent();
   notes_.clear_read();
-  for (const Address& box : told_) {
-    boost::system::error_code error;
-    socket_.send_to(boost::asio::buffer(bytes), box, 0, error);
-    metrics_->Add("leverwick_load_notes_total",
-                  error ? "result=\"not_sent\"" : "result=\"sent\"", 1);
-  }
 }
 
 }  // namespace leverwick
--- a/daemon/log_boxes.cc
+++ b/daemon/log_boxes.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kInterval{10000};
 // The list may be old: who is not there any more is passed over.
 constexpr milliseconds kMostAge{30000};
+// Within which all boxes have read an entry: the oldest list that is taken from
+// another box, and the time until the next read.
+constexpr milliseconds kListsAgree = kMostAge + kInterval + kInterval / 2;
 // Longer than a restart or a cut lasts. Each box adds up to half of it, so that
 // one of them writes and the others find it done.
 constexpr nanoseconds kDropAfter = std::chrono::seconds(60);
@@ -82,6 +85,10 @@
 void LogBoxes::OnRecord(const KeyedRecord& record) { Learn(record); }
 
 void LogBoxes::OnRead(TimePoint) {
+  if (!was_read_) {
+    was_read_ = true;
+    known_since_ = Clock::now() + (entered_ ? milliseconds(0) : kListsAgree);
+  }
   std::vector<LogBox> boxes;
   for (const auto& box : boxes_) boxes.push_back(box.second);
   log_->SetBoxes(boxes);
--- a/daemon/log_boxes.h
+++ b/daemon/log_boxes.h
@@ -47,6 +47,10 @@
     on_fleet_ = std::move(callback);
   }
 
+  // When all boxes in touch know this one: at once if the list held it when it
+  // was first read.
+  TimePoint known_since() const { return known_since_; }
+
   LogCache* cache() { return follower_.cache(); }
   size_t size() const { return boxes_.size(); }
 
@@ -76,6 +80,8 @@
   std::map<std::string, FleetBox> fleet_;  // all but this one, by name
   std::function<void(const std::vector<FleetBox>&)> on_fleet_;
   bool entered_ = false;  // the topic holds the own entry
+  bool was_read_ = false;
+  TimePoint known_since_ = TimePoint::max();
   bool writing_ = false;
 };
 
--- /dev/null
+++ b/daemon/permit_exchange.cc
@@ -0,0 +1,156 @@
+// Times go as ages, since clocks of boxes differ. What is told of a limit seems
+// newer by the time on the way, which keeps a limit rather than ends it; an end
+// is therefore told as older than it is, by more than that time.
+
+#include "daemon/permit_exchange.h"
+
+#include <algorithm>
+
+namespace leverwick {
+namespace {
+
+// How often waiting requests look again while an ask is open: they wait little
+// longer than they may.
+constexpr milliseconds kLook{50};
+// Longer than a datagram is on its way.
+constexpr milliseconds kOnTheWay{200};
+
+milliseconds AgeOf(TimePoint at, TimePoint now) {
+  auto age = std::chrono::duration_cast<milliseconds>(now - at);
+  return std::max(age, milliseconds(0));
+}
+
+LimitNote NoteOf(const LimitNews& news, TimePoint now) {
+  LimitNote note;
+  note.set_endpoint(news.endpoint);
+  note.set_per_second(news.per_second.value_or(0));
+  note.set_ended(!news.per_second);
+  milliseconds age = AgeOf(news.at, now);
+  if (!news.per_second) age += kOnTheWay;
+  note.set_age_ms(static_cast<uint32_t>(age.count()));
+  return note;
+}
+
+LimitNews NewsOf(const LimitNote& note, TimePoint now) {
+  LimitNews news;
+  news.endpoint = note.endpoint();
+  // No box tells what it could not have read in an answer.
+  if (!note.ended()) news.per_second = std::max(0.0, note.per_second());
+  news.at = now - milliseconds(note.age_ms());
+  return news;
+}
+
+}  // namespace
+
+PermitExchange::PermitExchange(boost::asio::io_context* loop, LimitWatch* watch,
+                               const EndpointDirectory* directory,
+                               PeerDatagrams* datagrams, Metrics* metrics)
+    : watch_(watch),
+      directory_(directory),
+      datagrams_(datagrams),
+      metrics_(metrics),
+      timer_(*loop) {}
+
+PermitExchange::~PermitExchange() { watch_->permits()->SetCourier(nullptr); }
+
+void PermitExchange::Start() {
+  watch_->permits()->SetCourier(this);
+  watch_->OnNews([this](const LimitNews& news) { Tell(news); });
+  datagrams_->AddListener(this);
+}
+
+void PermitExchange::SetBoxes(const std::vector<PeerDatagrams::Peer>& boxes,
+                              TimePoint known_since) {
+  std::map<std::string, PeerDatagrams::Address> before;
+  before.swap(boxes_);
+  std::vector<GranterBox> granters;
+  for (const PeerDatagrams::Peer& box : boxes) {
+    boxes_[box.name] = box.address;
+    granters.push_back({box.name, box.data_centre});
+  }
+  watch_->permits()->SetBoxes(std::move(granters));
+  watch_->permits()->GrantFrom(known_since);
+  for (const auto& [name, address] : boxes_) {
+    if (before.count(name) == 0) Greet(address);
+  }
+}
+
+void PermitExchange::Greet(const PeerDatagrams::Address& box) {
+  TimePoint now = Clock::now();
+  PeerNotes notes;
+  for (const std::string& endpoint : watch_->limits().endpoints()) {
+    const DirectoryEntry* entry = directory_->Find(endpoint);
+    if (entry == nullptr) continue;
+    if (!watch_->permits()->IsGranter(endpoint, entry->data_centre)) continue;
+    const NamedLimit* limit = watch_->limits().Find(endpoint);
+    *notes.add_limits() =
+        NoteOf({endpoint, limit->per_second, limit->named_at}, now);
+  }
+  if (!notes.limits().empty()) datagrams_->Send(notes, box);
+}
+
+void PermitExchange::Tell(const LimitNews& news) {
+  PeerNotes notes;
+  *notes.add_limits() = NoteOf(news, Clock::now());
+  for (const auto& box : boxes_) datagrams_->Send(notes, box.second);
+}
+
+void PermitExchange::Bring(const PermitAsk& ask, const std::string& box) {
+  auto found = boxes_.find(box);
+  if (found == boxes_.end()) return;
+  TimePoint now = Clock::now();
+  PeerNotes notes;
+  PermitAskNote* note = notes.add_asks();
+  note->set_number(ask.number);
+  note->set_data_centre(ask.data_centre);
+  *note->mutable_limit() =
+      NoteOf({ask.endpoint, ask.limit.per_second, ask.limit.named_at}, now);
+  datagrams_->Send(notes, found->second);
+  if (!watching_) Watch();
+}
+
+void PermitExchange::Watch() {
+  watching_ = true;
+  timer_.expires_after(kLook);
+  timer_.async_wait([this](auto error) {
+    if (error) return;
+    watching_ = false;
+    watch_->permits()->Expire(Clock::now());
+    watch_->WakeAll();
+    if (!watching_ && watch_->permits()->AnyOpen()) Watch();
+  });
+}
+
+void PermitExchange::OnNotes(const PeerNotes& notes,
+                             const PeerDatagrams::Address& from) {
+  TimePoint now = Clock::now();
+  for (const LimitNote& note : notes.limits()) {
+    watch_->Heard(NewsOf(note, now), now);
+  }
+  PeerNotes reply;
+  for (const PermitAskNote& note : notes.asks()) {
+    LimitNews news = NewsOf(note.limit(), now);
+    watch_->Heard(news, now);
+    PermitAsk ask{note.number(),
+                  news.endpoint,
+                  note.data_centre(),
+                  {news.per_second.value_or(0), news.at}};
+    PermitAnswer answer = watch_->permits()->Grant(ask, now);
+    metrics_->Add("leverwick_permits_total",
+                  answer.granted ? "result=\"granted\"" : "result=\"no_room\"",
+                  1);
+    PermitAnswerNote* answered = reply.add_answers();
+    answered->set_number(answer.number);
+    answered->set_granted(answer.granted);
+    auto room_in = std::chrono::ceil<milliseconds>(answer.room_in);
+    answered->set_room_in_ms(static_cast<uint32_t>(room_in.count()));
+  }
+  if (!reply.answers().empty()) datagrams_->Send(reply, from);
+  for (const PermitAnswerNote& note : notes.answers()) {
+    watch_->permits()->Answered(
+        {note.number(), note.granted(), milliseconds(note.room_in_ms())}, now);
+  }
+  if (!notes.answers().empty()) watch_->WakeAll();
+}
+
+}  // namespace leverwick
--- /dev/null
+++ b/daemon/permit_exchange.h
@@ -0,0 +1,68 @@
+// Asks other boxes for permits to send to limited endpoints, answers their
+// asks, and tells them of limits.
+//
+// An ask and its answer are a datagram each; what is lost is given up after a
+// time. A limit that this box's own answers begin or end is told to all boxes
+// once; boxes that are new in the fleet are told by the granters.
+//
+//   PermitExchange exchange(&loop, &watch, &directory, &datagrams, &metrics);
+//   exchange.Start();
+//   exchange.SetBoxes(peers, known_since);
+
+#ifndef DAEMON_PERMIT_EXCHANGE_H_
+#define DAEMON_PERMIT_EXCHANGE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "daemon/limit_watch.h"
+#include "daemon/peer_datagrams.h"
+#include "net/metrics.h"
+#include "schema/peer.pb.h"
+
+namespace leverwick {
+
+// Belongs to the thread that runs its event loop.
+class PermitExchange : private SendPermits::Courier,
+                       private PeerDatagrams::Listener {
+ public:
+  PermitExchange(boost::asio::io_context* loop, LimitWatch* watch,
+                 const EndpointDirectory* directory, PeerDatagrams* datagrams,
+                 Metrics* metrics);
+  ~PermitExchange() override;
+
+  // Begins to listen and to tell.
+  void Start();
+  // All boxes but this one. `known_since`: from when on these know this box,
+  // which grants nothing before.
+  void SetBoxes(const std::vector<PeerDatagrams::Peer>& boxes,
+                TimePoint known_since);
+
+ private:
+  // SendPermits::Courier.
+  void Bring(const PermitAsk& ask, const std::string& box) override;
+  // PeerDatagrams::Listener.
+  void OnNotes(const PeerNotes& notes,
+               const PeerDatagrams::Address& from) override;
+
+  void Tell(const LimitNews& news);
+  // The limits that this box deals out, to a box that is new.
+  void Greet(const PeerDatagrams::Address& box);
+  // Wakes who waits, and looks for asks that were lost, while any is open.
+  void Watch();
+
+  LimitWatch* const watch_;
+  const EndpointDirectory* const directory_;
+  PeerDatagrams* const datagrams_;
+  Metrics* const metrics_;
+  boost::asio::steady_timer timer_;
+  bool watching_ = false;                                // the timer runs
+  std::map<std::string, PeerDatagrams::Address> boxes_;  // by name
+};
+
+}  // namespace leverwick
+
+#endif  // DAEMON_PERMIT_EXCHANGE_H_
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -20,8 +20,6 @@
 // Log lines of requests that went well: two each at a hundred requests a
 // second, which is five times what a box of the present sites gets.
 constexpr double kLinesPerSecond = 200;
-// Between two lines on limits that only changed.
-constexpr milliseconds kLimitLines{1000};
 
 }  // namespace
 
@@ -32,6 +30,7 @@
       options_(options),
       slow_start_(options.life),
       directory_(&pool_, &slow_start_),
+      limits_({options.life, options.data_centre}, &directory_, &metrics_),
       proof_(options.proof_age),
       key_trust_(KeyTrustOf(options.strict_withdrawal)),
       rollouts_(options.rollout),
@@ -39,7 +38,8 @@
       guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
-      choice_({&pool_, &rollouts_, &loads_, &reach_, &drained_, &slow_start_},
+      choice_({&pool_, &rollouts_, &loads_, &reach_, &drained_, &slow_start_,
+               limits_.permits()},
               FarCost(options.far_megabyte), options.data_centre,
               options.regions),
       connections_(loop, options.connections),
@@ -85,46 +85,6 @@
   }
 }
 
-void Relay::HearLimit(const std::string& endpoint, const AnswerHead& answer,
-                      TimePoint sent_at, TimePoint now) {
-  using Change = EndpointLimits::Change;
-  if (answer.limit_unreadable) {
-    metrics_.Add("leverwick_unreadable_limits_total", "", 1);
-  }
-  Change change = Change::kNothing;
-  if (answer.most_per_second) {
-    change = limits_.Named(endpoint, *answer.most_per_second, now);
-  } else if (!answer.limit_unreadable) {
-    change = limits_.NotNamed(endpoint, sent_at);
-  }
-  TellLimit(endpoint, change, now);
-}
-
-void Relay::TellLimit(const std::string& endpoint,
-                      EndpointLimits::Change change, TimePoint now) {
-  using Change = EndpointLimits::Change;
-  if (change == Change::kNothing) return;
-  metrics_.Set("leverwick_named_limits", "",
-               static_cast<double>(limits_.endpoints().size()));
-  // An endpoint may name another one in each answer.
-  if (change == Change::kOther && now - limit_told_at_ < kLimitLines) return;
-  limit_told_at_ = now;
-  const NamedLimit* limit = limits_.Find(endpoint);
-  kLog.Info(limit != nullptr ? "An endpoint names a limit."
-                             : "An endpoint names no limit any more.",
-            {{"endpoint", endpoint},
-             {"per_second",
-              limit == nullptr ? "none" : std::to_string(limit->per_second)},
-             {"news", change == Change::kOther ? "another" : "yes"}});
-}
-
-void Relay::ForgetLimits(TimePoint now) {
-  for (const std::string& endpoint : limits_.endpoints()) {
-    if (directory_.Find(endpoint) == nullptr) limits_.Forget(endpoint);
-  }
-  limits_.Expire(now);
-}
-
 bool Relay::SetConfig(ServiceConfig config) {
   if (config_ != nullptr && config.version() <= config_->version()) {
     return false;
@@ -204,7 +164,7 @@
   loads_.Expire(now);
   reach_.Expire(now);
   slow_start_.Expire(now);
-  ForgetLimits(now);
+  limits_.Expire(now);
   for (const EndpointRun& run : ends_.TakeSurvived(now)) {
     poison_.Survived(run, now);
   }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -24,9 +24,9 @@
 #include "daemon/dialect.h"
 #include "daemon/endpoint_directory.h"
 #include "daemon/endpoint_ends.h"
+#include "daemon/limit_watch.h"
 #include "daemon/version_watch.h"
 #include "leverwick/endpoint_choice.h"
-#include "leverwick/endpoint_limits.h"
 #include "leverwick/endpoints.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/escalation.h"
@@ -85,6 +85,7 @@
   EndpointDirectory* directory() { return &directory_; }
   DrainedDataCentres* drained() { return &drained_; }
   SlowStart* slow_start() { return &slow_start_; }
+  LimitWatch* limits() { return &limits_; }
   ServiceRollouts* rollouts() { return &rollouts_; }
   Guard* guard() { return &guard_; }
   PoisonRequests* poison() { return &poison_; }
@@ -122,13 +123,6 @@
   PoisonVerdict JudgeRequest(const RequestDigest& digest,
                              const std::string& service, TimePoint now) const;
   void TellPoison();
-  // What an answer to a request sent at `sent_at` says of the endpoint's limit.
-  void HearLimit(const std::string& endpoint, const AnswerHead& answer,
-                 TimePoint sent_at, TimePoint now);
-  // Of endpoints that are no longer listed.
-  void ForgetLimits(TimePoint now);
-  void TellLimit(const std::string& endpoint, EndpointLimits::Change change,
-                 TimePoint now);
   void SetRolloutGauges(const RolloutRecord& rollout);
   // A request has ended; `status` is the caller's, 0 when it got none.
   void CountEnd(const std::string& organisation, const std::string& outcome,
@@ -147,8 +141,8 @@
   EndpointPool pool_;
   DrainedDataCentres drained_;
   SlowStart slow_start_;
-  EndpointLimits limits_;
   EndpointDirectory directory_;
+  LimitWatch limits_;
   ReadProof proof_;
   const KeyTrust& key_trust_;
   ServiceRollouts rollouts_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -23,6 +23,14 @@
 constexpr int kMostDispatches = 6;
 // A caller that reads slower than its endpoint writes stops the reading.
 constexpr size_t kMostPending = 256UL * 1024;
+// How long a request that only limits keep from all endpoints goes on asking
+// for a permit: boxes answer within a few ms, far ones within some tens.
+constexpr milliseconds kMostWaitForPermit{100};
+// Endpoints whose limit this box deals out itself that one request asks for in
+// a row: more than a service most likely has in need at once.
+constexpr int kMostAsksAtOnce = 16;
+// Callers that no endpoint has room for come back spread over this.
+constexpr milliseconds kSpreadReturns{1000};
 // When to come back if every endpoint was full: the pool drains some requests
 // in this time.
 constexpr milliseconds kComeBackAfter{250};
@@ -182,15 +190,54 @@
 
 void RelayedRequest::Dispatch() {
   if (finished_ || !MaySendOn()) return;
+  waited_since_ = Clock::now();
+  SendOrWait();
+}
+
+void RelayedRequest::SendOrWait() {
+  if (finished_) return;
+  TimePoint now = Clock::now();
+  bool is_asking = AskForPermit(now);
   std::string chosen = ChooseEndpoint(model_);
   const DirectoryEntry* endpoint = relay_->directory_.Find(chosen);
+  bool may_wait =
+      now - waited_since_ < kMostWaitForPermit && TimeLeft(now) > kLeastTime;
+  if (endpoint == nullptr && is_asking && may_wait) {
+    auto self = shared_from_this();
+    return relay_->limits_.Wait([self] { self->SendOrWait(); });
+  }
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
+  bool limited = relay_->limits_.limits().any() &&
+                 relay_->choice_.OnlyLimited(Wanted(model_), now);
+  if (limited) TellLimited(now);
   if (stream_started_) return BreakStream("stream_broken");
-  if (!log_.may_have_run()) return AnswerNotRun(Result::kNoEndpoint);
+  if (!log_.may_have_run()) {
+    return AnswerNotRun(limited ? Result::kEndpointsLimited
+                                : Result::kNoEndpoint);
+  }
   AnswerFailure(Result::kUnknownOutcome);
 }
 
+// A limit is one sum over all boxes: an endpoint that named 2 a second got as
+// much as before while nothing was asked of the others. So a request takes an
+// endpoint that names one only with a permit of the boxes that deal it out.
+bool RelayedRequest::AskForPermit(TimePoint now) {
+  preferred_.clear();
+  if (!relay_->limits_.limits().any()) return false;
+  SendPermits* permits = relay_->limits_.permits();
+  for (int asks = 0; asks < kMostAsksAtOnce; ++asks) {
+    std::string wished = relay_->choice_.ChooseToAsk(Wanted(model_), now);
+    const DirectoryEntry* endpoint = relay_->directory_.Find(wished);
+    if (endpoint == nullptr) return false;
+    preferred_ = wished;
+    permits->Ask(wished, endpoint->data_centre, now);
+    if (permits->IsAsking(wished)) return true;
+    // This box deals it out itself and has answered.
+  }
+  return false;
+}
+
 void RelayedRequest::SendTo(const DirectoryEntry& endpoint) {
   tried_.insert(endpoint.id);
   last_tried_ = endpoint.id;
@@ -198,6 +245,7 @@
   relay_->pool_.Started(endpoint.id);
   relay_->reach_.Trying(endpoint.id, Clock::now());
   relay_->slow_start_.Sent(endpoint.id, Clock::now());
+  relay_->limits_.permits()->Sent(endpoint.id, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
@@ -239,7 +287,8 @@
   // The word of another one at its address says that it has ended.
   if (!answer.other_endpoint) {
     relay_->poison_.Answered(try_->endpoint, try_->sent_at);
-    relay_->HearLimit(try_->endpoint, answer, try_->sent_at, Clock::now());
+    relay_->limits_.Answered(try_->endpoint, answer, try_->sent_at,
+                             Clock::now());
   }
   try_->answer = answer;
   try_->head = head;
@@ -469,10 +518,15 @@
 
 void RelayedRequest::AnswerNotRun(Result result) {
   milliseconds come_back_after = kComeBackAfter;
-  if (result == Result::kNoEndpoint) {
+  if (result == Result::kNoEndpoint || result == Result::kEndpointsLimited) {
     come_back_after =
         relay_->choice_.ComeBackAfter(Wanted(model_), Clock::now());
   }
+  // All who were refused would otherwise come at the moment of the next permit.
+  if (result == Result::kEndpointsLimited) {
+    come_back_after += std::chrono::duration_cast<milliseconds>(kSpreadReturns *
+                                                                relay_->Draw());
+  }
   AnswerNotRun(result, come_back_after);
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -60,6 +60,11 @@
   bool MaySendOn();
   void AnswerHeld(const PoisonVerdict& verdict);
   void Dispatch();
+  // Sends it, or lets it wait for an ask that is under way.
+  void SendOrWait();
+  // Asks for the endpoint where the request would best go, if that one names a
+  // limit; true if the answer is under way.
+  bool AskForPermit(TimePoint now);
   WantedEndpoint Wanted(size_t model);
   std::string ChooseEndpoint(size_t model);
   void SendTo(const DirectoryEntry& endpoint);
@@ -117,8 +122,10 @@
   // Logs and metrics; in relayed_request_log.cc.
   static constexpr char kAnswered[] = "answered";  // an outcome of Finish
   std::string LastEvent() const;
-  // The limit that the endpoint names, and how long ago it last did.
-  std::string NamedLimitText() const;
+  // The endpoint that the request would have gone to but for its limit.
+  std::string PreferredText() const;
+  // No endpoint has room within the limit that it names.
+  void TellLimited(TimePoint now);
   std::string TryStatus() const;
   // One line for a send, with what chose the endpoint.
   void TellSend(const DirectoryEntry& endpoint);
@@ -150,6 +157,9 @@
   std::set<std::string> tried_;
   std::string last_tried_;
   int dispatches_ = 0;
+  TimePoint waited_since_{};  // for a permit
+  // An endpoint that a permit was asked for; empty: none.
+  std::string preferred_;
   ServiceRollouts::Side side_ = ServiceRollouts::Side::kAny;
   bool failed_on_target_ = false;  // of a roll-out
   bool ends_target_ = false;       // ends endpoints of a roll-out's target
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -19,13 +19,18 @@
   return events_.last_id().empty() ? "none" : events_.last_id();
 }
 
-std::string RelayedRequest::NamedLimitText() const {
-  const NamedLimit* limit = relay_->limits_.Find(try_->endpoint);
-  if (limit == nullptr) return "none";
-  auto age =
-      std::chrono::duration_cast<milliseconds>(try_->sent_at - limit->named_at);
-  return std::to_string(limit->per_second) + "/s," +
-         std::to_string(age.count()) + "ms";
+std::string RelayedRequest::PreferredText() const {
+  bool is_elsewhere = !preferred_.empty() && preferred_ != try_->endpoint;
+  if (!is_elsewhere) return "none";
+  return preferred_ + "=" + relay_->limits_.Describe(preferred_, try_->sent_at);
+}
+
+void RelayedRequest::TellLimited(TimePoint now) {
+  relay_->metrics_.Add("leverwick_limited_requests_total", "", 1);
+  kLog.Info("No endpoint has room within its limit.",
+            {{"request", request_.id},
+             {"service", service_},
+             {"limits", relay_->limits_.DescribeService(service_, now)}});
 }
 
 std::string RelayedRequest::TryStatus() const {
@@ -131,7 +136,8 @@
        {"model", chosen_model().empty() ? "given" : chosen_model()},
        {"own_requests", std::to_string(relay_->pool_.OwnRequests(endpoint.id))},
        {"after_event", LastEvent()},
-       {"named_limit", NamedLimitText()},
+       {"limit", relay_->limits_.Describe(endpoint.id, try_->sent_at)},
+       {"without_room", PreferredText()},
        {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
        {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())},
        {"digest", digest_.ShortName()}});
--- a/daemon/testing/load_exchange_test.cc
+++ b/daemon/testing/load_exchange_test.cc
@@ -25,9 +25,15 @@
   Box(boost::asio::io_context* loop, const std::string& data_centre,
       size_t most_far)
       : address(FreePort(loop)),
-        exchange(loop, &loads, &metrics, data_centre, most_far),
+        datagrams(loop, &metrics),
+        exchange(loop, &loads, &datagrams, data_centre, most_far),
         entry{TextOf(address), data_centre, TextOf(address)} {
-    REQUIRE_FALSE(exchange.Start({address.address(), address.port()}));
+    exchange.Start();
+    REQUIRE_FALSE(datagrams.Start({address.address(), address.port()}));
+  }
+
+  void Tell(const std::vector<FleetBox>& boxes) {
+    exchange.SetBoxes(PeerDatagrams::PeersOf(boxes));
   }
 
   double WaitAt(const std::string& endpoint, const EngineWork& work) const {
@@ -37,6 +43,7 @@
   boost::asio::ip::tcp::endpoint address;
   EngineLoads loads;
   Metrics metrics;
+  PeerDatagrams datagrams;
   LoadExchange exchange;
   FleetBox entry;
 };
@@ -45,7 +52,7 @@
   boost::asio::io_context loop;
   Box first(&loop, "dc1", 0);
   Box second(&loop, "dc1", 0);
-  first.exchange.SetBoxes({second.entry});
+  first.Tell({second.entry});
   double idle = second.WaitAt("a", kOtherWork);
   uint64_t ticket = first.loads.Sent("a", kWork, Clock::now());
   double reading = first.loads.ReadingOf(ticket).count();
@@ -65,7 +72,7 @@
   boost::asio::io_context loop;
   Box first(&loop, "dc1", 0);
   Box second(&loop, "dc1", 0);
-  first.exchange.SetBoxes({second.entry});
+  first.Tell({second.entry});
   EngineWork call;
   call.kind = "route";
   first.loads.Ended(first.loads.Sent("a", call, Clock::now()));
@@ -85,12 +92,12 @@
   Box far(&loop, "dc2", 1);
   Box farther(&loop, "dc3", 1);
   double idle = far.WaitAt("a", kOtherWork);
-  first.exchange.SetBoxes({near.entry, far.entry, farther.entry});
+  first.Tell({near.entry, far.entry, farther.entry});
   first.loads.Sent("a", kWork, Clock::now());
   REQUIRE(RunUntil(&loop,
                    [&] { return near.WaitAt("a", kOtherWork) > idle + 0.01; }));
   CHECK(far.WaitAt("a", kOtherWork) == doctest::Approx(idle));
-  first.exchange.SetBoxes({near.entry, far.entry});
+  first.Tell({near.entry, far.entry});
   first.loads.Sent("b", kWork, Clock::now());
   REQUIRE(RunUntil(&loop,
                    [&] { return far.WaitAt("b", kOtherWork) > idle + 0.01; }));
@@ -103,7 +110,7 @@
   // Nobody listens at the first address; its refusal comes back later.
   FleetBox gone = second.entry;
   gone.address = TextOf(FreePort(&loop));
-  first.exchange.SetBoxes({gone, second.entry});
+  first.Tell({gone, second.entry});
   boost::asio::ip::udp::socket stranger(loop, boost::asio::ip::udp::v4());
   stranger.send_to(boost::asio::buffer("no notes", 8),
                    {second.address.address(), second.address.port()});
--- a/leverwick/endpoint_choice.cc
+++ b/leverwick/endpoint_choice.cc
@@ -21,7 +21,7 @@
                                    TimePoint now) const {
   // A return to the version before may be found bad as well, by chance: without
   // this no version is left and the service has no endpoint until the next
-  // order (8 of 50 runs of the soak; none of 58 with it).
+  // order.
   if (!wanted.takes_bad_before && OnlyBadListed(wanted.service)) {
     WantedEndpoint any = wanted;
     any.takes_bad_before = true;
@@ -40,6 +40,14 @@
                                        TimePoint now) const {
   std::string chosen = ChooseOn(wanted.side, wanted, excluded, now);
   if (!chosen.empty()) return chosen;
+  // What the version before has no room for must not raise the share of
+  // requests that a new one gets.
+  if (wanted.side == Side::kBaseline &&
+      wanted.permit != WantedEndpoint::Permit::kNone) {
+    WantedEndpoint unlimited = wanted;
+    unlimited.permit = WantedEndpoint::Permit::kNone;
+    if (!ChooseOn(wanted.side, unlimited, excluded, now).empty()) return "";
+  }
   // A version without endpoints of its own leaves its requests to the other.
   return ChooseOn(Side::kAny, wanted, excluded, now);
 }
@@ -87,7 +95,33 @@
                              TimePoint now) const {
   return IsPermitted(endpoint, wanted) &&
          facts_.reach->MayTry(endpoint.address, now) &&
-         facts_.slow_start->MaySend(endpoint, now);
+         facts_.slow_start->MaySend(endpoint, now) &&
+         HasRoom(endpoint.address, wanted, now);
+}
+
+bool EndpointChoice::HasRoom(const std::string& endpoint,
+                             const WantedEndpoint& wanted,
+                             TimePoint now) const {
+  using Permit = WantedEndpoint::Permit;
+  if (wanted.permit == Permit::kNone) return true;
+  if (facts_.permits->MaySend(endpoint, now)) return true;
+  return wanted.permit == Permit::kAskedFor &&
+         facts_.permits->MayAsk(endpoint, now);
+}
+
+std::string EndpointChoice::ChooseToAsk(const WantedEndpoint& wanted,
+                                        TimePoint now) const {
+  WantedEndpoint with_asks = wanted;
+  with_asks.permit = WantedEndpoint::Permit::kAskedFor;
+  std::string chosen = Choose(with_asks, now);
+  return facts_.permits->MaySend(chosen, now) ? "" : chosen;
+}
+
+bool EndpointChoice::OnlyLimited(const WantedEndpoint& wanted,
+                                 TimePoint now) const {
+  WantedEndpoint unlimited = wanted;
+  unlimited.permit = WantedEndpoint::Permit::kNone;
+  return Choose(wanted, now).empty() && !Choose(unlimited, now).empty();
 }
 
 std::optional<nanoseconds> EndpointChoice::OpensIn(
@@ -96,7 +130,8 @@
   if (!IsPermitted(endpoint, wanted)) return std::nullopt;
   bool reached = facts_.reach->MayTry(endpoint.address, now);
   nanoseconds found = reached ? nanoseconds(0) : Reachability::kProbeInterval;
-  return std::max(found, facts_.slow_start->RoomIn(endpoint, now));
+  found = std::max(found, facts_.slow_start->RoomIn(endpoint, now));
+  return std::max(found, facts_.permits->RoomIn(endpoint.address, now));
 }
 
 milliseconds EndpointChoice::ComeBackAfter(const WantedEndpoint& wanted,
--- a/leverwick/endpoint_choice.h
+++ b/leverwick/endpoint_choice.h
@@ -5,8 +5,8 @@
 // known of cut-off data centres count as waiting. A roll-out decides which of
 // its two versions may take the request; an endpoint that was tried before is
 // taken again only if there is no other. One beyond reach, in a data centre
-// that is drained, outside the request's home regions, or cold and given what
-// it bears is never taken.
+// that is drained, outside the request's home regions, cold and given what it
+// bears, or limited and without a permit is never taken.
 //
 //   EndpointChoice choice(EndpointChoice::Facts{...}, far_cost, data_centre);
 //   std::string id = choice.Choose(wanted, now);
@@ -26,6 +26,7 @@
 #include "leverwick/far_cost.h"
 #include "leverwick/homes.h"
 #include "leverwick/reachability.h"
+#include "leverwick/send_permits.h"
 #include "leverwick/service_rollouts.h"
 #include "leverwick/slow_start.h"
 #include "leverwick/time.h"
@@ -43,9 +44,13 @@
   Homes homes;
   std::set<std::string> tried;  // ids
   std::string last_tried;       // empty: none
+  // Set by the choice itself:
   // No sound version is listed: one that was found bad before the newest order
-  // is better than none. Set by the choice itself.
+  // is better than none.
   bool takes_bad_before = false;
+  // What an endpoint that names a limit needs, to be chosen.
+  enum class Permit { kHeld, kAskedFor, kNone };
+  Permit permit = Permit::kHeld;
 };
 
 class EndpointChoice {
@@ -58,6 +63,7 @@
     const Reachability* reach;
     const DrainedDataCentres* drained;
     const SlowStart* slow_start;
+    const SendPermits* permits;
   };
 
   // `data_centre`: of this box.
@@ -71,6 +77,13 @@
   // The endpoint's id; empty when none may take the request.
   std::string Choose(const WantedEndpoint& wanted, TimePoint now) const;
 
+  // The endpoint for which a permit should be asked: one that would be chosen
+  // with it. Empty when the best choice needs none.
+  std::string ChooseToAsk(const WantedEndpoint& wanted, TimePoint now) const;
+
+  // Whether only limits that endpoints name keep the request from all of them.
+  bool OnlyLimited(const WantedEndpoint& wanted, TimePoint now) const;
+
   // When an endpoint may take the request that none takes now: what its caller
   // is told.
   milliseconds ComeBackAfter(const WantedEndpoint& wanted, TimePoint now) const;
@@ -96,6 +109,9 @@
   std::optional<nanoseconds> OpensIn(const ListedEndpoint& endpoint,
                                      const WantedEndpoint& wanted,
                                      TimePoint now) const;
+  // Whether the endpoint's limit, if it names one, lets the request through.
+  bool HasRoom(const std::string& endpoint, const WantedEndpoint& wanted,
+               TimePoint now) const;
   // Whether neither an operator's order, a version that was found bad nor the
   // request's homes forbid it.
   bool IsPermitted(const ListedEndpoint& endpoint,
--- a/leverwick/endpoint_limits.h
+++ b/leverwick/endpoint_limits.h
@@ -45,6 +45,7 @@
   // Null: the endpoint names no limit.
   const NamedLimit* Find(const std::string& endpoint) const;
   bool any() const { return !limits_.empty(); }
+  size_t size() const { return limits_.size(); }
   std::vector<std::string> endpoints() const;
 
   // Forgets endpoints that are no longer listed, and old ends.
--- a/leverwick/result.cc
+++ b/leverwick/result.cc
@@ -68,6 +68,8 @@
        "Every endpoint tried refused before starting."},
       {Result::kHeld, "held", 503, kNot,
        "Endpoints have ended under this request; it is sent to none."},
+      {Result::kEndpointsLimited, "endpoints_limited", 503, kNot,
+       "The endpoints name limits that leave no room for this request now."},
       {Result::kUnknownOutcome, "unknown_outcome", 502, kMay,
        "The endpoint was lost; the request may have run."},
       {Result::kFailed, "failed", 502, kRan,
--- a/leverwick/result.h
+++ b/leverwick/result.h
@@ -43,6 +43,7 @@
   kQueueTimeout = 2009,
   kEndpointRefused = 2010,
   kHeld = 2011,
+  kEndpointsLimited = 2012,
   // Ran, or may have run.
   kUnknownOutcome = 3001,
   kFailed = 3002,
--- a/leverwick/testing/endpoint_choice_test.cc
+++ b/leverwick/testing/endpoint_choice_test.cc
@@ -27,8 +27,10 @@
   Reachability reach;
   DrainedDataCentres drained;
   SlowStart slow_start{"box"};
+  EndpointLimits limits;
+  SendPermits permits{{"box", "dc1"}, &limits};
   EndpointChoice choice{
-      {&pool, &rollouts, &loads, &reach, &drained, &slow_start},
+      {&pool, &rollouts, &loads, &reach, &drained, &slow_start, &permits},
       FarCost(std::chrono::seconds(30)),
       "dc1",
       Regions({{"dc1", "north"}, {"dc2", "south"}})};
@@ -273,5 +275,74 @@
   CHECK(site.choice.Choose(wanted, kStart).empty());
 }
 
+// A site whose box deals out all limits itself; "a" would be chosen first.
+struct LimitedSite : Site {
+  LimitedSite() {
+    permits.SetBoxes({});
+    permits.GrantFrom(kStart);
+    pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2")}, kStart);
+    limits.Named("a", 2, kStart);
+  }
+};
+
+TEST_CASE("an endpoint that names a limit is taken with a permit only") {
+  LimitedSite site;
+  WantedEndpoint wanted = Wanted(nullptr, 17000);
+  CHECK(site.choice.Choose(wanted, kStart) == "b");
+  // It would be the best one: a permit is asked for.
+  CHECK(site.choice.ChooseToAsk(wanted, kStart) == "a");
+  CHECK_FALSE(site.choice.OnlyLimited(wanted, kStart));
+  site.permits.Ask("a", "dc1", kStart);
+  // There is no room for half a second, so there is nothing to ask.
+  CHECK(site.choice.ChooseToAsk(wanted, kStart).empty());
+  TimePoint later = kStart + milliseconds(500);
+  CHECK(site.choice.ChooseToAsk(wanted, later) == "a");
+  site.permits.Ask("a", "dc1", later);
+  CHECK(site.choice.Choose(wanted, later) == "a");
+  CHECK(site.choice.ChooseToAsk(wanted, later).empty());
+  site.permits.Sent("a", later);
+  CHECK(site.choice.Choose(wanted, later) == "b");
+}
+
+TEST_CASE("no permit is asked for where another endpoint is better") {
+  LimitedSite site;
+  const Prompt busy = {{"other", 60000}, {"own", 10}};
+  site.loads.Sent("a", {"route/model", "model", &busy}, kStart);
+  CHECK(site.choice.ChooseToAsk(Wanted(nullptr, 0), kStart).empty());
+}
+
+TEST_CASE("when limits keep a request from all, the time is that of a permit") {
+  LimitedSite site;
+  site.limits.Named("b", 0.5, kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  CHECK(site.choice.OnlyLimited(wanted, kStart));
+  site.permits.Ask("a", "dc1", kStart);
+  site.permits.Ask("b", "dc2", kStart);
+  CHECK(site.choice.ComeBackAfter(wanted, kStart) == milliseconds(500));
+  // One that is drained as well is no matter of limits.
+  site.drained.Drain("dc1");
+  site.drained.Drain("dc2");
+  CHECK_FALSE(site.choice.OnlyLimited(wanted, kStart));
+}
+
+TEST_CASE("a limit of the version before gives its requests to no new one") {
+  LimitedSite site;
+  std::vector<ListedEndpoint> endpoints = {Listed("a", "dc1"),
+                                           Listed("new", "dc1")};
+  endpoints.back().version = "v2";
+  site.pool.SetListed(endpoints, kStart);
+  site.rollouts.Ordered("service", "v2", std::chrono::seconds(20), kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  wanted.side = ServiceRollouts::Side::kBaseline;
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  CHECK(site.choice.OnlyLimited(wanted, kStart));
+  // What the new version has no room for, the one before serves.
+  site.limits.NotNamed("a", kStart + milliseconds(1));
+  site.limits.Named("new", 2, kStart);
+  wanted.side = ServiceRollouts::Side::kTarget;
+  CHECK(site.choice.Choose(wanted, kStart) == "a");
+}
+
 }  // namespace
 }  // namespace leverwick
