--- a/daemon/limit_watch.cc
+++ b/daemon/limit_watch.cc
@@ -1,6 +1,7 @@
 #include "daemon/limit_watch.h"
 
 #include <cstdio>
+#include <random>
 #include <utility>
 
 #include "net/log.h"
@@ -24,6 +25,12 @@
 
 }  // namespace
 
+LimitWatch::LimitWatch(GranterBox self, const EndpointDirectory* directory,
+                       Metrics* metrics)
+    : permits_(std::move(self), &limits_, std::random_device{}()),
+      directory_(directory),
+      metrics_(metrics) {}
+
 void LimitWatch::Answered(const std::string& endpoint, const AnswerHead& answer,
                           TimePoint sent_at, TimePoint now) {
   if (answer.limit_unreadable) {
--- a/daemon/limit_watch.h
+++ b/daemon/limit_watch.h
@@ -39,10 +39,7 @@
 class LimitWatch {
  public:
   LimitWatch(GranterBox self, const EndpointDirectory* directory,
-             Metrics* metrics)
-      : permits_(std::move(self), &limits_),
-        directory_(directory),
-        metrics_(metrics) {}
+             Metrics* metrics);
 
   // An endpoint has answered a request that was sent to it at `sent_at`.
   void Answered(const std::string& endpoint, const AnswerHead& answer,
--- a/daemon/load_exchange.cc
+++ b/daemon/load_exchange.cc
@@ -11,9 +11,6 @@
 // How long a note waits for others: well below the 40 ms that the shortest
 // prompts take to be read, so that the news is not older than the prompt.
 constexpr milliseconds kGather{10};
-// Notes that fill a datagram; with the one that came last it stays below 1,400
-// bytes, what an Ethernet frame takes.
-constexpr size_t kFullBytes = 1000;
 
 }  // namespace
 
@@ -76,7 +73,7 @@
 }
 
 void LoadExchange::SendSoon() {
-  if (notes_.ByteSizeLong() >= kFullBytes) return Send();
+  if (notes_.ByteSizeLong() >= PeerDatagrams::kFullBytes) return Send();
   if (waiting_) return;
   waiting_ = true;
   timer_.expires_after(kGather);
--- a/daemon/peer_datagrams.h
+++ b/daemon/peer_datagrams.h
@@ -29,6 +29,10 @@
  public:
   using Address = boost::asio::ip::udp::endpoint;
 
+  // Notes that fill a datagram; with the one that came last it stays below
+  // 1,400 bytes, what an Ethernet frame takes.
+  static constexpr size_t kFullBytes = 1000;
+
   // A box that can be told something.
   struct Peer {
     std::string name;
--- a/daemon/permit_exchange.cc
+++ b/daemon/permit_exchange.cc
@@ -85,6 +85,9 @@
     const NamedLimit* limit = watch_->limits().Find(endpoint);
     *notes.add_limits() =
         NoteOf({endpoint, limit->per_second, limit->named_at}, now);
+    if (notes.ByteSizeLong() < PeerDatagrams::kFullBytes) continue;
+    datagrams_->Send(notes, box);
+    notes.clear_limits();
   }
   if (!notes.limits().empty()) datagrams_->Send(notes, box);
 }
--- a/leverwick/endpoint_limits.cc
+++ b/leverwick/endpoint_limits.cc
@@ -29,7 +29,7 @@
   auto found = limits_.find(endpoint);
   // Most endpoints never name one: nothing is kept of them.
   if (found == limits_.end()) return Change::kNothing;
-  if (sent_at <= found->second.named_at) return Change::kNothing;
+  if (sent_at <= found->second.named_at + kHolds) return Change::kNothing;
   limits_.erase(found);
   ended_[endpoint] = sent_at;
   return Change::kEnded;
--- a/leverwick/endpoint_limits.h
+++ b/leverwick/endpoint_limits.h
@@ -4,9 +4,11 @@
 // Nothing in an answer says when it was written. It was written between the
 // moment at which its request was sent and the one at which it came; where two
 // answers may have been written in either order, the limit stays. So one that
-// lacks the limit ends it only if its request was sent after the last answer
-// that named it had come. News of other boxes counts like an answer; a limit
-// lasts until an answer ends it, since only the endpoint knows its need.
+// lacks the limit ends it only if its request was sent some time after the last
+// answer that named it had come. That time also keeps a limit that only some
+// answers name, of one model or to one caller. News of other boxes counts like
+// an answer; a limit lasts until an answer ends it, since only the endpoint
+// knows its need.
 //
 //   EndpointLimits limits;
 //   limits.Named(endpoint, 2.5, now);
@@ -33,6 +35,10 @@
 // Not thread-safe.
 class EndpointLimits {
  public:
+  // A limit holds this long after each answer that names it, whatever others
+  // say.
+  static constexpr milliseconds kHolds{500};
+
   // What a word of an endpoint changed.
   enum class Change { kNothing, kBegan, kOther, kEnded };
 
--- a/leverwick/send_permits.h
+++ b/leverwick/send_permits.h
@@ -72,9 +72,12 @@
   // An ask without an answer for so long is lost.
   static constexpr milliseconds kAnswerTime{250};
 
-  // `limits` must outlive the permits.
-  SendPermits(GranterBox self, EndpointLimits* limits)
-      : self_(std::move(self)), limits_(limits) {}
+  // `limits` must outlive the permits. Asks are numbered behind `first_number`;
+  // with one drawn anew in each life of the box, an answer to an earlier life's
+  // ask is none to this one's.
+  SendPermits(GranterBox self, EndpointLimits* limits,
+              uint64_t first_number = 0)
+      : self_(std::move(self)), limits_(limits), last_number_(first_number) {}
 
   // Null: there are no other boxes to ask.
   void SetCourier(Courier* courier) { courier_ = courier; }
@@ -152,7 +155,7 @@
   std::unordered_map<std::string, Limited> limited_;  // by endpoint
   RateGrants grants_;
   TimePoint grants_from_ = TimePoint::max();
-  uint64_t last_number_ = 0;
+  uint64_t last_number_;
 };
 
 }  // namespace leverwick
