--- a/leverwick/testing/limit_play.h
+++ b/leverwick/testing/limit_play.h
@@ -39,6 +39,10 @@
   double lost = 0;  // share of the messages between boxes
   // Boxes that take part and answer nobody from the middle on.
   size_t dead = 0;
+  // Data centres whose boxes reach no others from the middle on.
+  size_t cut_off = 0;
+  // Boxes that have just started: the others do not know them yet.
+  size_t unknown = 0;
   Seconds lasts{24};
 };
 
@@ -146,6 +150,7 @@
     bool is_near = from % 3 == to % 3;
     Seconds takes(is_near ? 0.001 + 0.002 * Draw() : 0.01 + 0.02 * Draw());
     if (Draw() < fleet_.lost || IsDead(from) || IsDead(to)) return;
+    if (IsCut(from, to)) return;
     After(takes, std::move(act));
   }
   TimePoint now() const { return now_; }
@@ -192,6 +197,11 @@
   bool IsDead(size_t box) const {
     return box < fleet_.dead && now_ - start_ > FromSeconds(HalfTime());
   }
+  bool IsCut(size_t from, size_t to) const {
+    bool is_cut = from % 3 < fleet_.cut_off || to % 3 < fleet_.cut_off;
+    return is_cut && from % 3 != to % 3 &&
+           now_ - start_ > FromSeconds(HalfTime());
+  }
   double HalfTime() const { return fleet_.lasts.count() / 2; }
 
   size_t PickBox() {
@@ -347,12 +357,16 @@
           permits(BoxOf(number), fleet->play_->limits(number)) {
       std::vector<GranterBox> others;
       for (size_t i = 0; i < fleet->play_->fleet().boxes; ++i) {
-        if (i != number) others.push_back(BoxOf(i));
+        if (i == number || IsUnknown(i)) continue;
+        others.push_back(BoxOf(i));
       }
       permits.SetBoxes(others);
-      permits.GrantFrom(TimePoint());
+      permits.GrantFrom(IsUnknown(number) ? TimePoint::max() : TimePoint());
       permits.SetCourier(this);
     }
+    bool IsUnknown(size_t box) const {
+      return box < fleet->play_->fleet().unknown;
+    }
     static GranterBox BoxOf(size_t number) {
       return {"box-" + std::to_string(number), LimitPlay::DataCentreOf(number)};
     }
--- a/leverwick/testing/limit_play_test.cc
+++ b/leverwick/testing/limit_play_test.cc
@@ -65,6 +65,28 @@
   }
 }
 
+TEST_CASE("a limit is kept when boxes start or are cut off") {
+  for (size_t boxes : {size_t{7}, size_t{65}, size_t{195}}) {
+    for (size_t unknown : {size_t{1}, boxes / 3}) {
+      LimitedFleet fleet;
+      fleet.boxes = boxes;
+      fleet.limited = 4;
+      fleet.unknown = unknown;
+      CAPTURE(boxes);
+      CAPTURE(unknown);
+      PlayedLimit started = Worst(fleet);
+      CHECK(started.most <= AllowedIn(fleet.per_second));
+      CHECK(started.used >= 0.3);
+      fleet.unknown = 0;
+      fleet.cut_off = unknown == 1 ? 1 : 3;
+      PlayedLimit cut = Worst(fleet);
+      CHECK(cut.most <= AllowedIn(fleet.per_second));
+      // Each data centre goes on with what its own boxes deal out.
+      CHECK(cut.used >= 0.25);
+    }
+  }
+}
+
 TEST_CASE("where all endpoints name a limit nearly all of it is used") {
   for (size_t boxes : {size_t{2}, size_t{7}, size_t{65}, size_t{195}}) {
     LimitedFleet fleet;
