--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -30,6 +30,9 @@
   kLog.Info("No endpoint has room within its limit.",
             {{"request", request_.id},
              {"service", service_},
+             {"room_in_ms",
+              std::to_string(
+                  relay_->choice_.ComeBackAfter(Wanted(model_), now).count())},
              {"limits", relay_->limits_.DescribeService(service_, now)}});
 }
 
