A page of many entries no longer stops a box

Callers' closes were noticed up to a second late on a box with a quarter of a core, and requests went on to endpoints whose callers had left: each of a hundred new endpoints on a page handed the whole list to the pool, so that a page cost its entries times all endpoints. An endpoint that is taken away with requests under way is dropped when the last has ended, not at the next change of the list.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -1,6 +1,7 @@
-// Every change is handed to the pool as a new list, which costs as much as the
-// list is long. An endpoint renews its entry each second or so; what only
-// renews is not handed on.
+// Each entry that changes is handed to the pool by itself: a page of a roll-out
+// holds a hundred new ones, and a box that looks at the whole list for each
+// stands still meanwhile. An endpoint renews its entry each second or so; what
+// only renews is not handed on.
 
 #include "daemon/endpoint_directory.h"
 
@@ -20,6 +21,18 @@
 // users' bound); what is left is for a request on its way.
 constexpr milliseconds kServesOn{1800};
 
+// As the pool knows it: by the id of its life, not by its address.
+ListedEndpoint ListedOf(const DirectoryEntry& entry) {
+  ListedEndpoint endpoint;
+  endpoint.address = entry.id;
+  endpoint.target = entry.service;
+  endpoint.version = entry.version;
+  endpoint.data_centre = entry.data_centre;
+  endpoint.places = entry.places;
+  endpoint.leaving = entry.leaving;
+  return endpoint;
+}
+
 }  // namespace
 
 void EndpointDirectory::Put(const DirectoryEntry& entry, TimePoint now) {
@@ -47,7 +60,7 @@
   // A life never comes back from leaving.
   known.entry.leaving = entry.leaving || left;
   known.doubtful = false;
-  if (is_news) Publish(now);
+  if (is_news && !known.gone) pool_->Put(ListedOf(known.entry), now);
 }
 
 void EndpointDirectory::Remove(const std::string& id, TimePoint now) {
@@ -62,7 +75,6 @@
     return;
   }
   Erase(id);
-  Publish(now);
 }
 
 void EndpointDirectory::Replace(const std::vector<DirectoryEntry>& entries,
@@ -82,7 +94,7 @@
   if (found == entries_.end() || found->second.gone) return;
   found->second.gone = true;
   kLog.Info("Endpoint is gone by its address's word.", {{"endpoint", id}});
-  Publish(now);
+  pool_->Remove(id);
 }
 
 bool EndpointDirectory::IsInDoubt(TimePoint now, TimePoint* kept_until) const {
@@ -107,9 +119,7 @@
     bool over = known.doubtful && (!in_doubt || now >= known.kept_until);
     if (over) expired.push_back(id);
   }
-  if (expired.empty()) return;
   for (const std::string& id : expired) Erase(id);
-  Publish(now);
 }
 
 const DirectoryEntry* EndpointDirectory::Find(const std::string& id) const {
@@ -156,23 +166,7 @@
 void EndpointDirectory::Erase(const std::string& id) {
   kLog.Info("Endpoint is no longer listed.", {{"endpoint", id}});
   entries_.erase(id);
-}
-
-void EndpointDirectory::Publish(TimePoint now) {
-  std::vector<ListedEndpoint> listed;
-  for (const auto& known : entries_) {
-    const DirectoryEntry& entry = known.second.entry;
-    if (known.second.gone) continue;
-    ListedEndpoint endpoint;
-    endpoint.address = entry.id;
-    endpoint.target = entry.service;
-    endpoint.version = entry.version;
-    endpoint.data_centre = entry.data_centre;
-    endpoint.places = entry.places;
-    endpoint.leaving = entry.leaving;
-    listed.push_back(std::move(endpoint));
-  }
-  pool_->SetListed(listed, now);
+  pool_->Remove(id);
 }
 
 }  // namespace leverwick
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -92,7 +92,6 @@
   bool IsInDoubt(TimePoint now, TimePoint* kept_until) const;
 
   void Erase(const std::string& id);
-  void Publish(TimePoint now);
 
   EndpointPool* const pool_;
   SlowStart* const slow_start_;
--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -1,6 +1,12 @@
 #include "daemon/endpoint_directory.h"
 
 #include <doctest/doctest.h>
+#include <time.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <vector>
 
 namespace leverwick {
 namespace {
@@ -135,5 +141,105 @@
   CHECK_FALSE(listed.Serves(kStart));
 }
 
+// A box with a quarter of a core stood still for a second while it read a page
+// with a hundred endpoints of a roll-out's new version: callers' closes and
+// answers came in and were not read. Each new entry handed the whole list to
+// the pool, so that a page cost its entries times all endpoints. Evidence: the
+// trace of that second, and this test, which fails where the cost of a page
+// grows faster than its entries.
+Seconds ProcessorTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) + nanoseconds(time.tv_nsec);
+}
+
+DirectoryEntry Numbered(size_t number, const std::string& version = "v1") {
+  DirectoryEntry entry = MakeEntry("i-" + std::to_string(number));
+  entry.address = "10.0.0.1:" + std::to_string(1000 + number);
+  entry.version = version;
+  return entry;
+}
+
+// What a page of so many new, then changed, then gone entries costs; the least
+// of a few, since the machine has other work.
+Seconds CostOfPages(size_t entries) {
+  Seconds least = std::chrono::hours(1);
+  for (int round = 0; round < 3; ++round) {
+    Listed listed;
+    listed.directory.ReadSucceeded(kStart);
+    Seconds begun = ProcessorTime();
+    for (size_t i = 0; i < entries; ++i) {
+      listed.directory.Put(Numbered(i), kStart);
+    }
+    for (size_t i = 0; i < entries; ++i) {
+      listed.directory.Put(Numbered(i, "v2"), kStart);
+    }
+    for (size_t i = 0; i < entries; ++i) {
+      listed.directory.Remove(Numbered(i).id, kStart);
+    }
+    least = std::min(least, ProcessorTime() - begun);
+  }
+  return least;
+}
+
+TEST_CASE("the cost of a page grows with its entries") {
+  constexpr size_t kFew = 100;
+  constexpr size_t kMany = 1000;
+  // Ten times as many may cost ten times as much, and half as much again for
+  // larger tables; a cost of entries times endpoints would be a hundred times.
+  constexpr double kMost = 15;
+  double few = CostOfPages(kFew).count();
+  double many = CostOfPages(kMany).count();
+  CAPTURE(few);
+  CAPTURE(many);
+  CHECK(many <= kMost * few);
+}
+
+TEST_CASE("the pool holds what the directory lists, after every change") {
+  std::mt19937 random(11);
+  Listed listed;
+  listed.directory.Remove("a", kStart);
+  std::set<std::string> expected;
+  TimePoint now = kStart;
+  for (int step = 0; step < 2000; ++step) {
+    now += milliseconds(10);
+    listed.directory.ReadSucceeded(now);
+    DirectoryEntry entry = Numbered(random() % 20);
+    switch (random() % 4) {
+      case 0:
+      case 1:
+        listed.directory.Put(entry, now);
+        expected.insert(entry.id);
+        break;
+      case 2:
+        listed.directory.Remove(entry.id, now);
+        expected.erase(entry.id);
+        break;
+      default: {
+        std::vector<DirectoryEntry> all;
+        expected.clear();
+        for (size_t i = 0; i < random() % 20; ++i) {
+          all.push_back(Numbered(random() % 20));
+          expected.insert(all.back().id);
+        }
+        listed.directory.Replace(all, now);
+      }
+    }
+    std::vector<std::string> held = listed.pool.addresses();
+    REQUIRE(std::set<std::string>(held.begin(), held.end()) == expected);
+  }
+}
+
+TEST_CASE("an endpoint that is gone with requests under way takes no new one") {
+  Listed listed;
+  listed.directory.ReadSucceeded(kStart);
+  listed.pool.Started("a");
+  listed.directory.Remove("a", kStart);
+  CHECK_FALSE(listed.Serves(kStart));
+  CHECK(listed.pool.OwnRequests("a") == 1);
+  listed.pool.Ended("a", true, kStart);
+  CHECK(listed.pool.addresses().empty());
+}
+
 }  // namespace
 }  // namespace leverwick
--- a/leverwick/endpoints.cc
+++ b/leverwick/endpoints.cc
@@ -81,6 +81,45 @@
   target_by_address_ = std::move(by_address);
 }
 
+void EndpointPool::Put(const ListedEndpoint& endpoint, TimePoint now) {
+  std::string before = TargetOf(endpoint.address);
+  // Requests that still run there count for the target that it has now.
+  if (!before.empty() && before != endpoint.target) {
+    Shard& old = ShardOf(before);
+    std::lock_guard<std::mutex> lock(old.mutex);
+    old.targets[before].erase(endpoint.address);
+  }
+  {
+    Shard& shard = ShardOf(endpoint.target);
+    std::lock_guard<std::mutex> lock(shard.mutex);
+    Merge(endpoint, now, &shard.targets[endpoint.target][endpoint.address]);
+  }
+  std::lock_guard<std::mutex> lock(address_mutex_);
+  target_by_address_[endpoint.address] = endpoint.target;
+}
+
+void EndpointPool::Remove(const std::string& address) {
+  With(address, [](Endpoint* endpoint) { endpoint->in_list = false; });
+  DropUnused(address);
+}
+
+void EndpointPool::DropUnused(const std::string& address) {
+  std::string target = TargetOf(address);
+  {
+    Shard& shard = ShardOf(target);
+    std::lock_guard<std::mutex> lock(shard.mutex);
+    auto endpoints = shard.targets.find(target);
+    if (endpoints == shard.targets.end()) return;
+    auto endpoint = endpoints->second.find(address);
+    bool is_known = endpoint != endpoints->second.end();
+    if (!is_known) return;
+    if (endpoint->second.in_list || endpoint->second.own > 0) return;
+    endpoints->second.erase(endpoint);
+  }
+  std::lock_guard<std::mutex> lock(address_mutex_);
+  target_by_address_.erase(address);
+}
+
 void EndpointPool::Prune(Shard* shard,
                          std::map<std::string, std::string>* by_address) {
   for (auto& target : shard->targets) {
@@ -246,8 +285,10 @@
 }
 
 void EndpointPool::Ended(const std::string& address, bool good, TimePoint now) {
-  With(address, [good, now](Endpoint* endpoint) {
+  bool is_over = false;
+  With(address, [good, now, &is_over](Endpoint* endpoint) {
     if (endpoint->own > 0) --endpoint->own;
+    is_over = !endpoint->in_list && endpoint->own == 0;
     if (good) {
       endpoint->failures = 0;
       endpoint->ejected_until = TimePoint{};
@@ -257,6 +298,7 @@
     if (endpoint->failures < kFailures) return;
     endpoint->ejected_until = EjectedUntil(endpoint->failures, now);
   });
+  if (is_over) DropUnused(address);
 }
 
 void EndpointPool::Leaving(const std::string& address, TimePoint now) {
--- a/leverwick/endpoints.h
+++ b/leverwick/endpoints.h
@@ -55,6 +55,11 @@
   // Replaces what the platform lists. Endpoints that vanish are kept while
   // requests run on them.
   void SetListed(const std::vector<ListedEndpoint>& endpoints, TimePoint now);
+  // Adds or changes one endpoint of the list, or takes it away; one that is
+  // taken away is kept while requests run on it. Costs no look at the others,
+  // as a list that changes entry by entry needs.
+  void Put(const ListedEndpoint& endpoint, TimePoint now);
+  void Remove(const std::string& address);
 
   // An endpoint's own report, or a peer's note of it.
   void Reported(const std::string& address, const LoadReport& report,
@@ -132,6 +137,8 @@
   static constexpr size_t kShards = 16;
 
   Shard& ShardOf(const std::string& target) const;
+  // Drops an endpoint that is neither listed nor in use.
+  void DropUnused(const std::string& address);
   template <typename Function>
   void With(const std::string& address, Function function) const;
   // Drops what is neither listed nor in use; adds the rest to `by_address`.
