Only a success without the limit ends it

A refusal or failure may come from before the endpoint's own code, which would have named the limit; it ended the limit for half a second or more, and requests went through unbounded. Found by reading, not seen in a run; the test fails without the line.

--- a/daemon/limit_watch.cc
+++ b/daemon/limit_watch.cc
@@ -38,6 +38,9 @@
     // What can't be read neither sets a limit nor ends one.
     if (!answer.most_per_second) return;
   }
+  // A refusal or failure may come from before the endpoint's own code, which
+  // would have named the limit.
+  if (!answer.most_per_second && !answer.succeeded()) return;
   LimitNews news{endpoint, answer.most_per_second,
                  answer.most_per_second ? now : sent_at};
   Change change = Apply(news);
--- a/daemon/testing/permit_exchange_test.cc
+++ b/daemon/testing/permit_exchange_test.cc
@@ -32,8 +32,10 @@
     exchange.SetBoxes(PeerDatagrams::PeersOf(others), Clock::now());
   }
   // An answer of the endpoint, which names this limit or none.
-  void Hear(std::optional<double> per_second) {
+  void Hear(std::optional<double> per_second) { Hear(per_second, 200); }
+  void Hear(std::optional<double> per_second, int status) {
     AnswerHead answer;
+    answer.status = status;
     answer.most_per_second = per_second;
     TimePoint now = Clock::now();
     watch.Answered("e", answer, now, now);
@@ -71,6 +73,19 @@
   REQUIRE(RunUntil(&loop, [&] { return !second.KnowsLimit(); }));
 }
 
+TEST_CASE("refusals and failures begin a limit, and only a success ends it") {
+  boost::asio::io_context loop;
+  Box box(&loop, "b1");
+  box.Hear(2, 503);
+  REQUIRE(box.KnowsLimit());
+  TimePoint later = Clock::now() + milliseconds(600);
+  RunUntil(&loop, [&] { return Clock::now() >= later; });
+  for (int status : {429, 500, 503}) box.Hear(std::nullopt, status);
+  CHECK(box.KnowsLimit());
+  box.Hear(std::nullopt, 200);
+  CHECK_FALSE(box.KnowsLimit());
+}
+
 TEST_CASE("a box gets permits from others, at the endpoint's rate") {
   boost::asio::io_context loop;
   Box first(&loop, "b1");
