--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -219,9 +219,9 @@
   AnswerFailure(Result::kUnknownOutcome);
 }
 
-// A limit is one sum over all boxes: an endpoint that named 2 a second got as
-// much as before while nothing was asked of the others. So a request takes an
-// endpoint that names one only with a permit of the boxes that deal it out.
+// A limit is one sum over all boxes, which no box sees: each may be within it
+// while the endpoint gets a multiple. So a request takes an endpoint that names
+// one only with a permit of the boxes that deal it out.
 bool RelayedRequest::AskForPermit(TimePoint now) {
   preferred_.clear();
   if (!relay_->limits_.limits().any()) return false;
