Sight: what endpoints say of a time to come back and of their leaving

No line or figure of a box named the Retry-After of an endpoint's 503 or the Server-Leaving of its answers, so that three hypotheses could not be told apart. Nothing is decided by it yet.

--- /dev/null
+++ b/daemon/backoff_watch.cc
@@ -0,0 +1,75 @@
+#include "daemon/backoff_watch.h"
+
+#include "net/log.h"
+
+namespace leverwick {
+namespace {
+
+const Log kLog("backoffs");
+
+// Endpoints whose back-offs one line names.
+constexpr size_t kMostDescribed = 3;
+
+std::string MillisecondsText(nanoseconds time) {
+  auto whole = std::chrono::duration_cast<milliseconds>(time);
+  return std::to_string(whole.count());
+}
+
+}  // namespace
+
+void BackoffWatch::Answered(const std::string& endpoint,
+                            const AnswerHead& answer,
+                            const std::string& request_id, TimePoint now) {
+  if (answer.retry_after_unreadable) {
+    metrics_->Add("leverwick_unreadable_backoffs_total", "", 1);
+  }
+  if (!answer.retry_after) return;
+  metrics_->Add("leverwick_backoffs_asked_total", "", 1);
+  if (!backoffs_.Asked(endpoint, *answer.retry_after, now)) return;
+  metrics_->Set("leverwick_backoffs", "",
+                static_cast<double>(backoffs_.size()));
+  const Backoff* backoff = backoffs_.Find(endpoint);
+  kLog.Info("An endpoint asks for a back-off.",
+            {{"endpoint", endpoint},
+             {"request", request_id},
+             {"status", std::to_string(answer.status)},
+             {"asked_ms", MillisecondsText(backoff->time)},
+             {"kept_ms", MillisecondsText(backoff->until - now)}});
+}
+
+void BackoffWatch::Expire(TimePoint now) {
+  for (const EndedBackoff& ended : backoffs_.Expire(now)) {
+    kLog.Info("A back-off is over.",
+              {{"endpoint", ended.endpoint},
+               {"asked_ms", MillisecondsText(ended.backoff.time)},
+               {"sent", std::to_string(ended.backoff.sent)},
+               {"sent_after_end", std::to_string(ended.backoff.returned)}});
+  }
+  metrics_->Set("leverwick_backoffs", "",
+                static_cast<double>(backoffs_.size()));
+}
+
+std::string BackoffWatch::Describe(const std::string& endpoint,
+                                   TimePoint now) const {
+  const Backoff* backoff = backoffs_.Find(endpoint);
+  if (backoff == nullptr) return "none";
+  return MillisecondsText(backoff->time) + "ms,asked_" +
+         MillisecondsText(now - backoff->asked_at) + "ms_ago,sent_" +
+         std::to_string(backoff->sent);
+}
+
+std::string BackoffWatch::DescribeService(const std::string& service,
+                                          TimePoint now) const {
+  std::string text;
+  size_t described = 0;
+  for (const std::string& endpoint : backoffs_.endpoints()) {
+    const DirectoryEntry* entry = directory_->Find(endpoint);
+    if (entry == nullptr || entry->service != service) continue;
+    if (++described > kMostDescribed) return text + ";...";
+    text +=
+        (text.empty() ? "" : ";") + endpoint + "=" + Describe(endpoint, now);
+  }
+  return text.empty() ? "none" : text;
+}
+
+}  // namespace leverwick
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -54,6 +54,11 @@
   // no limit, or one that can't be read.
   std::optional<double> most_per_second;
   bool limit_unreadable = false;
+  // Of a 503: how long the endpoint wants no request of this box; unset: it
+  // names no time, or one that can't be read.
+  std::optional<milliseconds> retry_after;
+  bool retry_after_unreadable = false;
+  bool leaving = false;  // the endpoint is about to end
   bool succeeded() const { return status >= 200 && status < 300; }
 };
 
--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -97,6 +97,20 @@
   pool_->Remove(id);
 }
 
+void EndpointDirectory::SaidLeaving(const std::string& id, TimePoint now) {
+  auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.said_leaving) return;
+  found->second.said_leaving = true;
+  kLog.Info("Endpoint says in an answer that it is leaving.",
+            {{"endpoint", id},
+             {"listed", found->second.entry.leaving ? "leaving" : "ready"}});
+}
+
+bool EndpointDirectory::HasSaidLeaving(const std::string& id) const {
+  auto found = entries_.find(id);
+  return found != entries_.end() && found->second.said_leaving;
+}
+
 bool EndpointDirectory::IsInDoubt(TimePoint now, TimePoint* kept_until) const {
   *kept_until = TimePoint::max();
   if (away_) return true;
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -62,6 +62,10 @@
   // The endpoint itself, or whoever has its address now, says that it is gone.
   void Gone(const std::string& id, TimePoint now);
 
+  // An answer of the endpoint said that it is leaving, whatever is listed.
+  void SaidLeaving(const std::string& id, TimePoint now);
+  bool HasSaidLeaving(const std::string& id) const;
+
   void ReadFailed() { away_ = true; }
   // The list is known as it was at `as_of`.
   void ReadSucceeded(TimePoint as_of);
@@ -86,6 +90,7 @@
     bool doubtful = false;   // vanished while the list could not be read
     TimePoint kept_until{};  // a doubtful one, at most
     bool gone = false;       // by its own word
+    bool said_leaving = false;
   };
 
   // Whether an entry that vanishes now may come back, and how long it is kept.
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -31,6 +31,7 @@
       slow_start_(options.life),
       directory_(&pool_, &slow_start_),
       limits_({options.life, options.data_centre}, &directory_, &metrics_),
+      backoffs_(std::random_device{}(), &directory_, &metrics_),
       proof_(options.proof_age),
       key_trust_(KeyTrustOf(options.strict_withdrawal)),
       rollouts_(options.rollout),
@@ -165,6 +166,7 @@
   reach_.Expire(now);
   slow_start_.Expire(now);
   limits_.Expire(now);
+  backoffs_.Expire(now);
   for (const EndpointRun& run : ends_.TakeSurvived(now)) {
     poison_.Survived(run, now);
   }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 
+#include "daemon/backoff_watch.h"
 #include "daemon/dialect.h"
 #include "daemon/endpoint_directory.h"
 #include "daemon/endpoint_ends.h"
@@ -143,6 +144,7 @@
   SlowStart slow_start_;
   EndpointDirectory directory_;
   LimitWatch limits_;
+  BackoffWatch backoffs_;
   ReadProof proof_;
   const KeyTrust& key_trust_;
   ServiceRollouts rollouts_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -246,6 +246,7 @@
   relay_->reach_.Trying(endpoint.id, Clock::now());
   relay_->slow_start_.Sent(endpoint.id, Clock::now());
   relay_->limits_.permits()->Sent(endpoint.id, Clock::now());
+  relay_->backoffs_.backoffs()->Sent(endpoint.id, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
@@ -289,6 +290,11 @@
     relay_->poison_.Answered(try_->endpoint, try_->sent_at);
     relay_->limits_.Answered(try_->endpoint, answer, try_->sent_at,
                              Clock::now());
+    relay_->backoffs_.Answered(try_->endpoint, answer, request_.id,
+                               Clock::now());
+    if (answer.leaving) {
+      relay_->directory_.SaidLeaving(try_->endpoint, Clock::now());
+    }
   }
   try_->answer = answer;
   try_->head = head;
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -141,6 +141,9 @@
        {"after_event", LastEvent()},
        {"limit", relay_->limits_.Describe(endpoint.id, try_->sent_at)},
        {"without_room", PreferredText()},
+       {"backoffs", relay_->backoffs_.DescribeService(service_, try_->sent_at)},
+       {"said_leaving",
+        relay_->directory_.HasSaidLeaving(endpoint.id) ? "yes" : "no"},
        {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
        {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())},
        {"digest", digest_.ShortName()}});
