A box leaves an endpoint alone for the time that the endpoint asks for

Callers saw 503 from endpoints that had turned the same box away before, while others had room; endpoints got up to 17 requests of a box within 3 s in which they wanted none.

SendGates answers in one place whether a box may send an endpoint a request now, and if not, from when on: reach, back-off, slow start, limit. Where back-offs leave no endpoint the caller is refused at once (2013), with the soonest end.

Each send passes the choice, so second tries, larger models and resumed streams are kept to it too.

--- a/daemon/backoff_watch.cc
+++ b/daemon/backoff_watch.cc
@@ -18,8 +18,7 @@
 }  // namespace
 
 void BackoffWatch::Answered(const std::string& endpoint,
-                            const AnswerHead& answer,
-                            const std::string& request_id, TimePoint now) {
+                            const AnswerHead& answer, TimePoint now) {
   if (answer.retry_after_unreadable) {
     metrics_->Add("leverwick_unreadable_backoffs_total", "", 1);
   }
@@ -31,7 +30,7 @@
   const Backoff* backoff = backoffs_.Find(endpoint);
   kLog.Info("An endpoint asks for a back-off.",
             {{"endpoint", endpoint},
-             {"request", request_id},
+             {"request", answer.request_id},
              {"status", std::to_string(answer.status)},
              {"asked_ms", MillisecondsText(backoff->time)},
              {"kept_ms", MillisecondsText(backoff->until - now)}});
--- a/daemon/backoff_watch.h
+++ b/daemon/backoff_watch.h
@@ -1,15 +1,14 @@
 // The back-offs that endpoints ask for, as this box hears of them, with the
 // lines and metrics that tell operators.
 //
-//   BackoffWatch watch(seed, &directory, &metrics);
-//   watch.Answered(endpoint, answer, request_id, now);
+//   BackoffWatch watch(&directory, &metrics);
+//   watch.Answered(endpoint, answer, now);
 //   watch.backoffs()->Sent(endpoint, now);
 //   watch.Expire(now);
 
 #ifndef DAEMON_BACKOFF_WATCH_H_
 #define DAEMON_BACKOFF_WATCH_H_
 
-#include <cstdint>
 #include <string>
 
 #include "daemon/dialect.h"
@@ -23,13 +22,12 @@
 class BackoffWatch {
  public:
   // The directory and the metrics must outlive this.
-  BackoffWatch(uint64_t seed, const EndpointDirectory* directory,
-               Metrics* metrics)
-      : backoffs_(seed), directory_(directory), metrics_(metrics) {}
+  BackoffWatch(const EndpointDirectory* directory, Metrics* metrics)
+      : directory_(directory), metrics_(metrics) {}
 
-  // The head of an answer to a request of that id came.
+  // The head of an endpoint's answer came.
   void Answered(const std::string& endpoint, const AnswerHead& answer,
-                const std::string& request_id, TimePoint now);
+                TimePoint now);
 
   Backoffs* backoffs() { return &backoffs_; }
   const Backoffs* backoffs() const { return &backoffs_; }
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -31,7 +31,7 @@
       slow_start_(options.life),
       directory_(&pool_, &slow_start_),
       limits_({options.life, options.data_centre}, &directory_, &metrics_),
-      backoffs_(std::random_device{}(), &directory_, &metrics_),
+      backoffs_(&directory_, &metrics_),
       proof_(options.proof_age),
       key_trust_(KeyTrustOf(options.strict_withdrawal)),
       rollouts_(options.rollout),
@@ -39,8 +39,8 @@
       guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
-      choice_({&pool_, &rollouts_, &loads_, &reach_, &drained_, &slow_start_,
-               limits_.permits()},
+      gates_({&reach_, backoffs_.backoffs(), &slow_start_, limits_.permits()}),
+      choice_({&pool_, &rollouts_, &loads_, &gates_, &drained_},
               FarCost(options.far_megabyte), options.data_centre,
               options.regions),
       connections_(loop, options.connections),
@@ -53,6 +53,20 @@
 
 Relay::~Relay() = default;
 
+void Relay::Heard(const EndpointTry& answered) {
+  TimePoint now = Clock::now();
+  const std::string& endpoint = answered.endpoint;
+  const AnswerHead& answer = answered.answer;
+  loads_.Reached(answered.data_centre);
+  reach_.Answered(endpoint);
+  // The word of another one at its address says that it has ended.
+  if (answer.other_endpoint) return;
+  poison_.Answered(endpoint, answered.sent_at);
+  limits_.Answered(endpoint, answer, answered.sent_at, now);
+  backoffs_.Answered(endpoint, answer, now);
+  if (answer.leaving) directory_.SaidLeaving(endpoint, now);
+}
+
 void Relay::OnEndpointEnd(const EndpointEnd& end) {
   metrics_.Add("leverwick_endpoint_ends_total", "", 1);
   poison_.EndedUnder(end.under, end.at);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -39,6 +39,7 @@
 #include "leverwick/read_proof.h"
 #include "leverwick/request_sampler.h"
 #include "leverwick/retry_budget.h"
+#include "leverwick/send_gates.h"
 #include "leverwick/service_config.h"
 #include "leverwick/service_rollouts.h"
 #include "net/async_http_client.h"
@@ -48,6 +49,7 @@
 namespace leverwick {
 
 class RelayedRequest;
+struct EndpointTry;
 
 struct RelayOptions {
   std::string life;          // names this box's life in sums and logs
@@ -120,6 +122,8 @@
   // Whether the request may be taken by its key; fills in its holder.
   Result Admit(const ServiceRoute& route, const CallerRequest& request,
                TimePoint now, KeyHolder* holder) const;
+  // Takes in all that the head of an answer says of its endpoint.
+  void Heard(const EndpointTry& answered);
   void OnEndpointEnd(const EndpointEnd& end);
   PoisonVerdict JudgeRequest(const RequestDigest& digest,
                              const std::string& service, TimePoint now) const;
@@ -155,6 +159,7 @@
   Escalation escalation_;
   EngineLoads loads_;
   Reachability reach_;
+  const SendGates gates_;
   const EndpointChoice choice_;
   HttpConnections connections_;
   EndpointEnds ends_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -208,14 +208,10 @@
   }
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
-  bool limited = relay_->limits_.limits().any() &&
-                 relay_->choice_.OnlyLimited(Wanted(model_), now);
-  if (limited) TellLimited(now);
+  Result why = relay_->choice_.WhyNone(Wanted(model_), now);
+  if (why != Result::kNoEndpoint) TellShut(why, now);
   if (stream_started_) return BreakStream("stream_broken");
-  if (!log_.may_have_run()) {
-    return AnswerNotRun(limited ? Result::kEndpointsLimited
-                                : Result::kNoEndpoint);
-  }
+  if (!log_.may_have_run()) return AnswerNotRun(why);
   AnswerFailure(Result::kUnknownOutcome);
 }
 
@@ -243,10 +239,7 @@
   last_tried_ = endpoint.id;
   log_.Sent();
   relay_->pool_.Started(endpoint.id);
-  relay_->reach_.Trying(endpoint.id, Clock::now());
-  relay_->slow_start_.Sent(endpoint.id, Clock::now());
-  relay_->limits_.permits()->Sent(endpoint.id, Clock::now());
-  relay_->backoffs_.backoffs()->Sent(endpoint.id, Clock::now());
+  relay_->gates_.Sent(endpoint.id, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
@@ -283,21 +276,9 @@
   }
   try_->has_head = true;
   if (answer.succeeded()) relay_->loads_.Began(try_->ticket, Clock::now());
-  relay_->loads_.Reached(try_->data_centre);
-  relay_->reach_.Answered(try_->endpoint);
-  // The word of another one at its address says that it has ended.
-  if (!answer.other_endpoint) {
-    relay_->poison_.Answered(try_->endpoint, try_->sent_at);
-    relay_->limits_.Answered(try_->endpoint, answer, try_->sent_at,
-                             Clock::now());
-    relay_->backoffs_.Answered(try_->endpoint, answer, request_.id,
-                               Clock::now());
-    if (answer.leaving) {
-      relay_->directory_.SaidLeaving(try_->endpoint, Clock::now());
-    }
-  }
   try_->answer = answer;
   try_->head = head;
+  relay_->Heard(*try_);
   try_->streams =
       answer.succeeded() && answer.signed_whole && answer.event_stream;
   if (try_->streams) {
@@ -482,12 +463,21 @@
   }
   if (stream_started_) return BreakStream("stream_broken");
   if (step == NextStep::kAnswerNotRun) {
-    return AnswerNotRun(refused ? Result::kEndpointRefused
-                                : Result::kNoEndpoint);
+    return AnswerNotRun(refused ? WhyRefused() : Result::kNoEndpoint);
   }
   AnswerFailure(promised ? Result::kFailed : Result::kUnknownOutcome);
 }
 
+Result RelayedRequest::WhyRefused() {
+  TimePoint now = Clock::now();
+  WantedEndpoint anew = Wanted(model_);
+  anew.tried.clear();
+  if (!relay_->choice_.Choose(anew, now).empty()) {
+    return Result::kEndpointRefused;
+  }
+  return relay_->choice_.WhyNone(anew, now);
+}
+
 void RelayedRequest::ReleaseEndpoint(bool good, std::optional<RunEnd> how) {
   relay_->pool_.Ended(try_->endpoint, good, Clock::now());
   relay_->loads_.Ended(try_->ticket);
@@ -524,12 +514,14 @@
 
 void RelayedRequest::AnswerNotRun(Result result) {
   milliseconds come_back_after = kComeBackAfter;
-  if (result == Result::kNoEndpoint || result == Result::kEndpointsLimited) {
+  if (result != Result::kEndpointRefused && result != Result::kQueueTimeout) {
     come_back_after =
         relay_->choice_.ComeBackAfter(Wanted(model_), Clock::now());
   }
-  // All who were refused would otherwise come at the moment of the next permit.
-  if (result == Result::kEndpointsLimited) {
+  // All who were refused would otherwise come back at the same moment.
+  bool share_end = result == Result::kEndpointsLimited ||
+                   result == Result::kEndpointsBackOff;
+  if (share_end) {
     come_back_after += std::chrono::duration_cast<milliseconds>(kSpreadReturns *
                                                                 relay_->Draw());
   }
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -100,6 +100,8 @@
                  const ClientCall::Failure& failure, TimePoint broke_at);
   void EndTry(AttemptOutcome outcome);
   bool MayResend(AttemptOutcome outcome);
+  // What to tell the caller after the last endpoint's refusal.
+  Result WhyRefused();
   // `how` the run ended; nothing: it has not run.
   void ReleaseEndpoint(bool good, std::optional<RunEnd> how);
   WatchedTry Watched() const;
@@ -124,8 +126,8 @@
   std::string LastEvent() const;
   // The endpoint that the request would have gone to but for its limit.
   std::string PreferredText() const;
-  // No endpoint has room within the limit that it names.
-  void TellLimited(TimePoint now);
+  // Limits or back-offs keep the request from all endpoints.
+  void TellShut(Result why, TimePoint now);
   std::string TryStatus() const;
   // One line for a send, with what chose the endpoint.
   void TellSend(const DirectoryEntry& endpoint);
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -25,15 +25,21 @@
   return preferred_ + "=" + relay_->limits_.Describe(preferred_, try_->sent_at);
 }
 
-void RelayedRequest::TellLimited(TimePoint now) {
-  relay_->metrics_.Add("leverwick_limited_requests_total", "", 1);
-  kLog.Info("No endpoint has room within its limit.",
+void RelayedRequest::TellShut(Result why, TimePoint now) {
+  relay_->metrics_.Add(why == Result::kEndpointsLimited
+                           ? "leverwick_limited_requests_total"
+                           : "leverwick_backed_off_requests_total",
+                       "", 1);
+  kLog.Info(why == Result::kEndpointsLimited
+                ? "No endpoint has room within its limit."
+                : "All endpoints have asked for back-offs.",
             {{"request", request_.id},
              {"service", service_},
-             {"room_in_ms",
+             {"opens_in_ms",
               std::to_string(
                   relay_->choice_.ComeBackAfter(Wanted(model_), now).count())},
-             {"limits", relay_->limits_.DescribeService(service_, now)}});
+             {"limits", relay_->limits_.DescribeService(service_, now)},
+             {"backoffs", relay_->backoffs_.DescribeService(service_, now)}});
 }
 
 std::string RelayedRequest::TryStatus() const {
@@ -142,8 +148,6 @@
        {"limit", relay_->limits_.Describe(endpoint.id, try_->sent_at)},
        {"without_room", PreferredText()},
        {"backoffs", relay_->backoffs_.DescribeService(service_, try_->sent_at)},
-       {"said_leaving",
-        relay_->directory_.HasSaidLeaving(endpoint.id) ? "yes" : "no"},
        {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
        {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())},
        {"digest", digest_.ShortName()}});
--- a/leverwick/backoffs.cc
+++ b/leverwick/backoffs.cc
@@ -14,23 +14,16 @@
 
 }  // namespace
 
-milliseconds Backoffs::Spread(milliseconds time) {
-  double share = std::uniform_real_distribution<>(0, kSpreadShare)(random_);
-  auto spread = std::chrono::duration_cast<milliseconds>(time * share);
-  return std::min(spread, kLongestSpread);
-}
-
 bool Backoffs::Asked(const std::string& endpoint, milliseconds time,
                      TimePoint now) {
   milliseconds kept = std::min<milliseconds>(time, kLongest);
   if (kept <= milliseconds(0)) return false;
   Backoff& backoff = backoffs_[endpoint];
   bool is_new = backoff.until <= now;
-  // Compared without the spread, which only one answer's time gets.
-  bool is_covered = !is_new && backoff.until >= now + kept;
+  bool is_covered = backoff.until >= now + kept;
   if (is_covered) return false;
   size_t sent = is_new ? 0 : backoff.sent;
-  backoff = {now, time, now + kept + Spread(kept), sent, 0};
+  backoff = {now, time, now + kept, sent, 0};
   return is_new;
 }
 
--- a/leverwick/backoffs.h
+++ b/leverwick/backoffs.h
@@ -6,7 +6,7 @@
 // sent before. The time is the box's own: an endpoint that turns one box away
 // may serve another. Where a back-off ends, requests return step by step.
 //
-//   Backoffs backoffs(seed);
+//   Backoffs backoffs;
 //   backoffs.Asked(endpoint, milliseconds(3000), now);
 //   if (backoffs.OpensIn(endpoint, now) <= nanoseconds(0)) {
 //     backoffs.Sent(endpoint, now);
@@ -18,8 +18,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
-#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,17 +45,11 @@
   // An endpoint that asks for longer is tried again after this: it may have
   // mistaken the unit, and only an answer tells that it is back.
   static constexpr std::chrono::minutes kLongest{5};
-  // The end is put off by up to this share of the time, and up to this long, so
-  // that boxes which were told at the same moment do not return together.
-  static constexpr double kSpreadShare = 0.1;
-  static constexpr milliseconds kLongestSpread{400};
   // After the end one request may go in the first step, two in the second, four
   // in the third: an endpoint with nothing to do looks best to every box.
   static constexpr milliseconds kStep{50};
   static constexpr int kSteps = 6;
 
-  explicit Backoffs(uint64_t seed) : random_(seed) {}
-
   // An answer that came at `now` asks for it. True if none was under way.
   bool Asked(const std::string& endpoint, milliseconds time, TimePoint now);
   // A request goes to the endpoint.
@@ -76,10 +68,7 @@
   std::vector<EndedBackoff> Expire(TimePoint now);
 
  private:
-  milliseconds Spread(milliseconds time);
-
   std::unordered_map<std::string, Backoff> backoffs_;  // by endpoint
-  std::mt19937_64 random_;
 };
 
 }  // namespace leverwick
--- a/leverwick/endpoint_choice.cc
+++ b/leverwick/endpoint_choice.cc
@@ -42,11 +42,10 @@
   if (!chosen.empty()) return chosen;
   // What the version before has no room for must not raise the share of
   // requests that a new one gets.
-  if (wanted.side == Side::kBaseline &&
-      wanted.permit != WantedEndpoint::Permit::kNone) {
-    WantedEndpoint unlimited = wanted;
-    unlimited.permit = WantedEndpoint::Permit::kNone;
-    if (!ChooseOn(wanted.side, unlimited, excluded, now).empty()) return "";
+  if (wanted.side == Side::kBaseline) {
+    WantedEndpoint open = wanted;
+    open.gates = SendGates::Scope::kNoWishes;
+    if (!ChooseOn(wanted.side, open, excluded, now).empty()) return "";
   }
   // A version without endpoints of its own leaves its requests to the other.
   return ChooseOn(Side::kAny, wanted, excluded, now);
@@ -57,7 +56,8 @@
                                      TimePoint now) const {
   std::string target = facts_.rollouts->TargetOf(wanted.service);
   auto allowed = [&](const ListedEndpoint& endpoint) {
-    if (!MayTake(endpoint, wanted, now)) return false;
+    if (!IsPermitted(endpoint, wanted)) return false;
+    if (!facts_.gates->IsOpen(endpoint, wanted.gates, now)) return false;
     return side == Side::kAny ||
            (endpoint.version == target) == (side == Side::kTarget);
   };
@@ -90,48 +90,28 @@
          wanted.homes.Allow(regions_.Of(endpoint.data_centre));
 }
 
-bool EndpointChoice::MayTake(const ListedEndpoint& endpoint,
-                             const WantedEndpoint& wanted,
-                             TimePoint now) const {
-  return IsPermitted(endpoint, wanted) &&
-         facts_.reach->MayTry(endpoint.address, now) &&
-         facts_.slow_start->MaySend(endpoint, now) &&
-         HasRoom(endpoint.address, wanted, now);
-}
-
-bool EndpointChoice::HasRoom(const std::string& endpoint,
-                             const WantedEndpoint& wanted,
-                             TimePoint now) const {
-  using Permit = WantedEndpoint::Permit;
-  if (wanted.permit == Permit::kNone) return true;
-  if (facts_.permits->MaySend(endpoint, now)) return true;
-  return wanted.permit == Permit::kAskedFor &&
-         facts_.permits->MayAsk(endpoint, now);
-}
-
 std::string EndpointChoice::ChooseToAsk(const WantedEndpoint& wanted,
                                         TimePoint now) const {
   WantedEndpoint with_asks = wanted;
-  with_asks.permit = WantedEndpoint::Permit::kAskedFor;
+  with_asks.gates = SendGates::Scope::kAskingPermits;
   std::string chosen = Choose(with_asks, now);
-  return facts_.permits->MaySend(chosen, now) ? "" : chosen;
+  return facts_.gates->NeedsPermit(chosen, now) ? chosen : "";
 }
 
-bool EndpointChoice::OnlyLimited(const WantedEndpoint& wanted,
-                                 TimePoint now) const {
-  WantedEndpoint unlimited = wanted;
-  unlimited.permit = WantedEndpoint::Permit::kNone;
-  return Choose(wanted, now).empty() && !Choose(unlimited, now).empty();
+bool EndpointChoice::AnyWith(SendGates::Scope gates,
+                             const WantedEndpoint& wanted,
+                             TimePoint now) const {
+  WantedEndpoint any = wanted;
+  any.gates = gates;
+  return !Choose(any, now).empty();
 }
 
-std::optional<nanoseconds> EndpointChoice::OpensIn(
-    const ListedEndpoint& endpoint, const WantedEndpoint& wanted,
-    TimePoint now) const {
-  if (!IsPermitted(endpoint, wanted)) return std::nullopt;
-  bool reached = facts_.reach->MayTry(endpoint.address, now);
-  nanoseconds found = reached ? nanoseconds(0) : Reachability::kProbeInterval;
-  found = std::max(found, facts_.slow_start->RoomIn(endpoint, now));
-  return std::max(found, facts_.permits->RoomIn(endpoint.address, now));
+Result EndpointChoice::WhyNone(const WantedEndpoint& wanted,
+                               TimePoint now) const {
+  using Scope = SendGates::Scope;
+  if (AnyWith(Scope::kNoLimits, wanted, now)) return Result::kEndpointsLimited;
+  if (AnyWith(Scope::kNoWishes, wanted, now)) return Result::kEndpointsBackOff;
+  return Result::kNoEndpoint;
 }
 
 milliseconds EndpointChoice::ComeBackAfter(const WantedEndpoint& wanted,
@@ -140,8 +120,9 @@
   std::optional<nanoseconds> soonest;
   auto look = [&](const ListedEndpoint& endpoint) {
     listed = true;
-    auto opens = OpensIn(endpoint, wanted, now);
-    if (opens && (!soonest || *opens < *soonest)) soonest = opens;
+    if (!IsPermitted(endpoint, wanted)) return false;
+    nanoseconds opens_in = facts_.gates->OpensIn(endpoint, now);
+    soonest = std::min(opens_in, soonest.value_or(opens_in));
     return false;  // only looked at
   };
   auto no_cost = [](const ListedEndpoint&, bool) { return 0.0; };
--- a/leverwick/endpoint_choice.h
+++ b/leverwick/endpoint_choice.h
@@ -4,13 +4,15 @@
 // there would hold up, what bytes to another data centre cost, and what is
 // known of cut-off data centres count as waiting. A roll-out decides which of
 // its two versions may take the request; an endpoint that was tried before is
-// taken again only if there is no other. One beyond reach, in a data centre
-// that is drained, outside the request's home regions, cold and given what it
-// bears, or limited and without a permit is never taken.
+// taken again only if there is no other. One that SendGates shuts, in a data
+// centre that is drained or outside the request's home regions is never taken.
 //
 //   EndpointChoice choice(EndpointChoice::Facts{...}, far_cost, data_centre);
 //   std::string id = choice.Choose(wanted, now);
-//   if (id.empty()) ... choice.ComeBackAfter(wanted, now)
+//   if (id.empty()) {
+//     Result why = choice.WhyNone(wanted, now);
+//     milliseconds come_back_after = choice.ComeBackAfter(wanted, now);
+//   }
 
 #ifndef LEVERWICK_ENDPOINT_CHOICE_H_
 #define LEVERWICK_ENDPOINT_CHOICE_H_
@@ -25,10 +27,9 @@
 #include "leverwick/engine_loads.h"
 #include "leverwick/far_cost.h"
 #include "leverwick/homes.h"
-#include "leverwick/reachability.h"
-#include "leverwick/send_permits.h"
+#include "leverwick/result.h"
+#include "leverwick/send_gates.h"
 #include "leverwick/service_rollouts.h"
-#include "leverwick/slow_start.h"
 #include "leverwick/time.h"
 
 namespace leverwick {
@@ -48,9 +49,7 @@
   // No sound version is listed: one that was found bad before the newest order
   // is better than none.
   bool takes_bad_before = false;
-  // What an endpoint that names a limit needs, to be chosen.
-  enum class Permit { kHeld, kAskedFor, kNone };
-  Permit permit = Permit::kHeld;
+  SendGates::Scope gates = SendGates::Scope::kAll;
 };
 
 class EndpointChoice {
@@ -60,10 +59,8 @@
     const EndpointPool* pool;
     const ServiceRollouts* rollouts;
     const EngineLoads* loads;
-    const Reachability* reach;
+    const SendGates* gates;
     const DrainedDataCentres* drained;
-    const SlowStart* slow_start;
-    const SendPermits* permits;
   };
 
   // `data_centre`: of this box.
@@ -81,8 +78,9 @@
   // with it. Empty when the best choice needs none.
   std::string ChooseToAsk(const WantedEndpoint& wanted, TimePoint now) const;
 
-  // Whether only limits that endpoints name keep the request from all of them.
-  bool OnlyLimited(const WantedEndpoint& wanted, TimePoint now) const;
+  // What keeps the request from all endpoints, where none may take it: limits
+  // that they name, back-offs that they ask for, or anything else.
+  Result WhyNone(const WantedEndpoint& wanted, TimePoint now) const;
 
   // When an endpoint may take the request that none takes now: what its caller
   // is told.
@@ -103,14 +101,7 @@
 
   // Whether all listed endpoints of a service are of versions found bad.
   bool OnlyBadListed(const std::string& service) const;
-  bool MayTake(const ListedEndpoint& endpoint, const WantedEndpoint& wanted,
-               TimePoint now) const;
-  // Until the endpoint may take a request; nothing: no time is known.
-  std::optional<nanoseconds> OpensIn(const ListedEndpoint& endpoint,
-                                     const WantedEndpoint& wanted,
-                                     TimePoint now) const;
-  // Whether the endpoint's limit, if it names one, lets the request through.
-  bool HasRoom(const std::string& endpoint, const WantedEndpoint& wanted,
+  bool AnyWith(SendGates::Scope gates, const WantedEndpoint& wanted,
                TimePoint now) const;
   // Whether neither an operator's order, a version that was found bad nor the
   // request's homes forbid it.
--- a/leverwick/result.cc
+++ b/leverwick/result.cc
@@ -70,6 +70,8 @@
        "Endpoints have ended under this request; it is sent to none."},
       {Result::kEndpointsLimited, "endpoints_limited", 503, kNot,
        "The endpoints name limits that leave no room for this request now."},
+      {Result::kEndpointsBackOff, "endpoints_back_off", 503, kNot,
+       "The endpoints have asked for no requests for some time."},
       {Result::kUnknownOutcome, "unknown_outcome", 502, kMay,
        "The endpoint was lost; the request may have run."},
       {Result::kFailed, "failed", 502, kRan,
--- a/leverwick/result.h
+++ b/leverwick/result.h
@@ -44,6 +44,7 @@
   kEndpointRefused = 2010,
   kHeld = 2011,
   kEndpointsLimited = 2012,
+  kEndpointsBackOff = 2013,
   // Ran, or may have run.
   kUnknownOutcome = 3001,
   kFailed = 3002,
--- a/leverwick/testing/endpoint_choice_test.cc
+++ b/leverwick/testing/endpoint_choice_test.cc
@@ -29,11 +29,12 @@
   SlowStart slow_start{"box"};
   EndpointLimits limits;
   SendPermits permits{{"box", "dc1"}, &limits};
-  EndpointChoice choice{
-      {&pool, &rollouts, &loads, &reach, &drained, &slow_start, &permits},
-      FarCost(std::chrono::seconds(30)),
-      "dc1",
-      Regions({{"dc1", "north"}, {"dc2", "south"}})};
+  Backoffs backoffs;
+  SendGates gates{{&reach, &backoffs, &slow_start, &permits}};
+  EndpointChoice choice{{&pool, &rollouts, &loads, &gates, &drained},
+                        FarCost(std::chrono::seconds(30)),
+                        "dc1",
+                        Regions({{"dc1", "north"}, {"dc2", "south"}})};
 };
 
 WantedEndpoint Wanted(const Prompt* prompt, size_t body_bytes) {
@@ -291,7 +292,6 @@
   CHECK(site.choice.Choose(wanted, kStart) == "b");
   // It would be the best one: a permit is asked for.
   CHECK(site.choice.ChooseToAsk(wanted, kStart) == "a");
-  CHECK_FALSE(site.choice.OnlyLimited(wanted, kStart));
   site.permits.Ask("a", "dc1", kStart);
   // There is no room for half a second, so there is nothing to ask.
   CHECK(site.choice.ChooseToAsk(wanted, kStart).empty());
@@ -316,14 +316,14 @@
   site.limits.Named("b", 0.5, kStart);
   WantedEndpoint wanted = Wanted(nullptr, 0);
   CHECK(site.choice.Choose(wanted, kStart).empty());
-  CHECK(site.choice.OnlyLimited(wanted, kStart));
+  CHECK(site.choice.WhyNone(wanted, kStart) == Result::kEndpointsLimited);
   site.permits.Ask("a", "dc1", kStart);
   site.permits.Ask("b", "dc2", kStart);
   CHECK(site.choice.ComeBackAfter(wanted, kStart) == milliseconds(500));
   // One that is drained as well is no matter of limits.
   site.drained.Drain("dc1");
   site.drained.Drain("dc2");
-  CHECK_FALSE(site.choice.OnlyLimited(wanted, kStart));
+  CHECK(site.choice.WhyNone(wanted, kStart) == Result::kNoEndpoint);
 }
 
 TEST_CASE("a limit of the version before gives its requests to no new one") {
@@ -336,7 +336,7 @@
   WantedEndpoint wanted = Wanted(nullptr, 0);
   wanted.side = ServiceRollouts::Side::kBaseline;
   CHECK(site.choice.Choose(wanted, kStart).empty());
-  CHECK(site.choice.OnlyLimited(wanted, kStart));
+  CHECK(site.choice.WhyNone(wanted, kStart) == Result::kEndpointsLimited);
   // What the new version has no room for, the one before serves.
   site.limits.NotNamed("a", kStart + std::chrono::seconds(1));
   site.limits.Named("new", 2, kStart);
@@ -344,5 +344,53 @@
   CHECK(site.choice.Choose(wanted, kStart) == "a");
 }
 
+TEST_CASE("an endpoint that asked for a back-off is left alone until its end") {
+  Site site;
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2")}, kStart);
+  site.backoffs.Asked("a", milliseconds(3000), kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 17000);
+  TimePoint during = kStart + milliseconds(2999);
+  CHECK(site.choice.Choose(wanted, kStart) == "b");
+  CHECK(site.choice.Choose(wanted, during) == "b");
+  // Not even for the sake of a second try.
+  wanted.tried = {"a", "b"};
+  wanted.last_tried = "b";
+  CHECK(site.choice.Choose(wanted, during).empty());
+  wanted.tried.clear();
+  TimePoint after = kStart + milliseconds(3000);
+  CHECK(site.choice.Choose(wanted, after) == "a");
+}
+
+TEST_CASE("when all endpoints ask for back-offs the time is the first end") {
+  Site site;
+  site.pool.SetListed({Listed("a", "dc1"), Listed("b", "dc2")}, kStart);
+  site.backoffs.Asked("a", milliseconds(5000), kStart);
+  site.backoffs.Asked("b", milliseconds(2000), kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  TimePoint later = kStart + milliseconds(500);
+  CHECK(site.choice.Choose(wanted, later).empty());
+  CHECK(site.choice.WhyNone(wanted, later) == Result::kEndpointsBackOff);
+  milliseconds come_back_after = site.choice.ComeBackAfter(wanted, later);
+  CHECK(come_back_after == milliseconds(1500));
+  CHECK(site.choice.Choose(wanted, later + come_back_after) == "b");
+  // Limits and back-offs together leave none.
+  site.limits.Named("b", 0.5, kStart);
+  CHECK(site.choice.WhyNone(wanted, later) == Result::kEndpointsBackOff);
+}
+
+TEST_CASE("a back-off of the version before gives its requests to no new one") {
+  Site site;
+  std::vector<ListedEndpoint> endpoints = {Listed("a", "dc1"),
+                                           Listed("new", "dc1")};
+  endpoints.back().version = "v2";
+  site.pool.SetListed(endpoints, kStart);
+  site.rollouts.Ordered("service", "v2", std::chrono::seconds(20), kStart);
+  site.backoffs.Asked("a", milliseconds(3000), kStart);
+  WantedEndpoint wanted = Wanted(nullptr, 0);
+  wanted.side = ServiceRollouts::Side::kBaseline;
+  CHECK(site.choice.Choose(wanted, kStart).empty());
+  CHECK(site.choice.WhyNone(wanted, kStart) == Result::kEndpointsBackOff);
+}
+
 }  // namespace
 }  // namespace leverwick
