An endpoint that says in an answer that it leaves gets nothing more

Endpoints whose answers say that they leave, their entries unchanged, got 18 to 25 requests later than the drain time, 100 where all four said so; none is allowed, in touch with the store or not. Cause: the field was read by nobody.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -20,6 +20,8 @@
 // An endpoint serves on for two seconds at least after its entry vanished (the
 // users' bound); what is left is for a request on its way.
 constexpr milliseconds kServesOn{1800};
+// An entry that lapsed may come back this much later.
+constexpr std::chrono::minutes kLeavingKept{10};
 
 // As the pool knows it: by the id of its life, not by its address.
 ListedEndpoint ListedOf(const DirectoryEntry& entry) {
@@ -35,9 +37,14 @@
 
 }  // namespace
 
-void EndpointDirectory::Put(const DirectoryEntry& entry, TimePoint now) {
+void EndpointDirectory::Put(const DirectoryEntry& listed, TimePoint now) {
+  DirectoryEntry entry = listed;
   auto found = entries_.find(entry.id);
   bool is_new = found == entries_.end();
+  // A life never comes back from leaving.
+  bool left = said_leaving_.count(entry.id) > 0 ||
+              (!is_new && found->second.entry.leaving);
+  entry.leaving = entry.leaving || left;
   if (is_new || found->second.entry.leaving != entry.leaving) {
     kLog.Info(entry.leaving ? "Endpoint is leaving." : "Endpoint is listed.",
               {{"endpoint", entry.id},
@@ -53,12 +60,9 @@
   }
   slow_start_->Told(entry.id, entry.cold_for, now);
   Known& known = entries_[entry.id];
-  bool left = known.entry.leaving;
   bool is_news = is_new || known.doubtful || !known.entry.SameAs(entry);
   known.entry = entry;
   known.cold_until = now + entry.cold_for;
-  // A life never comes back from leaving.
-  known.entry.leaving = entry.leaving || left;
   known.doubtful = false;
   if (is_news && !known.gone) pool_->Put(ListedOf(known.entry), now);
 }
@@ -98,17 +102,15 @@
 }
 
 void EndpointDirectory::SaidLeaving(const std::string& id, TimePoint now) {
+  bool is_news = said_leaving_.emplace(id, now).second;
   auto found = entries_.find(id);
-  if (found == entries_.end() || found->second.said_leaving) return;
-  found->second.said_leaving = true;
+  if (!is_news || found == entries_.end()) return;
+  Known& known = found->second;
   kLog.Info("Endpoint says in an answer that it is leaving.",
             {{"endpoint", id},
-             {"listed", found->second.entry.leaving ? "leaving" : "ready"}});
-}
-
-bool EndpointDirectory::HasSaidLeaving(const std::string& id) const {
-  auto found = entries_.find(id);
-  return found != entries_.end() && found->second.said_leaving;
+             {"listed", known.entry.leaving ? "leaving" : "ready"}});
+  known.entry.leaving = true;
+  if (!known.gone) pool_->Put(ListedOf(known.entry), now);
 }
 
 bool EndpointDirectory::IsInDoubt(TimePoint now, TimePoint* kept_until) const {
@@ -134,6 +136,15 @@
     if (over) expired.push_back(id);
   }
   for (const std::string& id : expired) Erase(id);
+  ForgetLeaving(now);
+}
+
+void EndpointDirectory::ForgetLeaving(TimePoint now) {
+  for (auto said = said_leaving_.begin(); said != said_leaving_.end();) {
+    if (entries_.count(said->first) > 0) said->second = now;
+    bool old = now - said->second > kLeavingKept;
+    said = old ? said_leaving_.erase(said) : std::next(said);
+  }
 }
 
 const DirectoryEntry* EndpointDirectory::Find(const std::string& id) const {
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -1,7 +1,8 @@
 // The endpoints that a platform lists, and how far each is to be believed.
 //
-// Entries come and go one at a time. An endpoint's own word that it is leaving
-// binds at once. An entry that vanished while the list could not be read may
+// Entries come and go one at a time. An endpoint's own word that it is leaving,
+// in its entry or in an answer, binds at once and for good, whatever its entry
+// says later. An entry that vanished while the list could not be read may
 // have lapsed only because the endpoint could not renew it: it is kept until
 // the endpoint has had time to come back, and is gone if it has not. One that
 // vanishes soon after the list is back may still have lapsed for that reason,
@@ -54,7 +55,7 @@
   EndpointDirectory(EndpointPool* pool, SlowStart* slow_start)
       : pool_(pool), slow_start_(slow_start) {}
 
-  void Put(const DirectoryEntry& entry, TimePoint now);
+  void Put(const DirectoryEntry& listed, TimePoint now);
   void Remove(const std::string& id, TimePoint now);
   // The list was read anew as a whole: what it lacks is removed.
   void Replace(const std::vector<DirectoryEntry>& entries, TimePoint now);
@@ -62,9 +63,8 @@
   // The endpoint itself, or whoever has its address now, says that it is gone.
   void Gone(const std::string& id, TimePoint now);
 
-  // An answer of the endpoint said that it is leaving, whatever is listed.
+  // An answer of the endpoint said that it is leaving.
   void SaidLeaving(const std::string& id, TimePoint now);
-  bool HasSaidLeaving(const std::string& id) const;
 
   void ReadFailed() { away_ = true; }
   // The list is known as it was at `as_of`.
@@ -90,17 +90,20 @@
     bool doubtful = false;   // vanished while the list could not be read
     TimePoint kept_until{};  // a doubtful one, at most
     bool gone = false;       // by its own word
-    bool said_leaving = false;
   };
 
   // Whether an entry that vanishes now may come back, and how long it is kept.
   bool IsInDoubt(TimePoint now, TimePoint* kept_until) const;
 
   void Erase(const std::string& id);
+  void ForgetLeaving(TimePoint now);
 
   EndpointPool* const pool_;
   SlowStart* const slow_start_;
   std::map<std::string, Known> entries_;
+  // Endpoints that said in an answer that they leave, and when they were last
+  // listed: an entry that lapsed and comes back does not undo it.
+  std::map<std::string, TimePoint> said_leaving_;
   bool away_ = false;
   TimePoint back_at_{};  // as of the first read after failed ones
   TimePoint read_at_{};  // as of the last read
--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -39,6 +39,40 @@
   directory->ReadSucceeded(back);
 }
 
+TEST_CASE("an endpoint that says in an answer that it leaves never returns") {
+  Listed listed;
+  listed.directory.SaidLeaving("a", kStart);
+  CHECK_FALSE(listed.Serves(kStart));
+  CHECK(listed.directory.VersionsOf("chat").empty());
+  CHECK_FALSE(listed.directory.IsWarm("chat", "v1", kStart));
+  // Its entry goes on saying that it is ready, lapses and comes back.
+  listed.directory.Put(MakeEntry("a"), kStart + milliseconds(500));
+  CHECK_FALSE(listed.Serves(kStart));
+  listed.directory.ReadSucceeded(kStart);
+  listed.directory.Remove("a", kStart + std::chrono::seconds(1));
+  listed.directory.Expire(kStart + std::chrono::seconds(90));
+  listed.directory.Put(MakeEntry("a"), kStart + std::chrono::seconds(90));
+  CHECK_FALSE(listed.Serves(kStart + std::chrono::minutes(5)));
+  // Another life of it is another endpoint.
+  listed.directory.Put(MakeEntry("b"), kStart + std::chrono::seconds(90));
+  CHECK(listed.Serves(kStart + std::chrono::minutes(5)));
+}
+
+TEST_CASE("what endpoints said of leaving is forgotten after they are gone") {
+  Listed listed;
+  TimePoint late = kStart + std::chrono::hours(1);
+  listed.directory.SaidLeaving("a", kStart);
+  // Not while it is listed.
+  listed.directory.Expire(late);
+  listed.directory.Put(MakeEntry("a"), late);
+  CHECK_FALSE(listed.Serves(late));
+  listed.directory.ReadSucceeded(late);
+  listed.directory.Remove("a", late);
+  listed.directory.Expire(late + std::chrono::minutes(11));
+  listed.directory.Put(MakeEntry("a"), late + std::chrono::minutes(11));
+  CHECK(listed.Serves(late + std::chrono::minutes(11)));
+}
+
 TEST_CASE("an endpoint that vanishes while the list can be read is gone") {
   Listed listed;
   listed.directory.ReadSucceeded(kStart);
