New boxes deal out limits as soon as the others that answer know them

A fleet whose boxes are all new served nothing for 45 s where all endpoints of a service name limits, and did not notice the end of a limit. Cause: a new box granted nothing until all others had surely read of it in the list. What must be known is that nobody acts on a list without it: new boxes introduce themselves, and grant once all that answer know the same boxes.

--- a/daemon/permit_exchange.cc
+++ b/daemon/permit_exchange.cc
@@ -14,6 +14,9 @@
 constexpr milliseconds kLook{50};
 // Longer than a datagram is on its way.
 constexpr milliseconds kOnTheWay{200};
+// Between two rounds in which a new box tells others of itself: datagrams get
+// lost, and boxes that start together learn of each other meanwhile.
+constexpr milliseconds kIntroduceAgain{400};
 
 milliseconds AgeOf(TimePoint at, TimePoint now) {
   auto age = std::chrono::duration_cast<milliseconds>(now - at);
@@ -42,13 +45,17 @@
 
 }  // namespace
 
-PermitExchange::PermitExchange(boost::asio::io_context* loop, LimitWatch* watch,
+PermitExchange::PermitExchange(boost::asio::io_context* loop,
+                               const GranterBox& self, LimitWatch* watch,
                                const EndpointDirectory* directory,
                                PeerDatagrams* datagrams, Metrics* metrics)
     : watch_(watch),
       directory_(directory),
       datagrams_(datagrams),
       metrics_(metrics),
+      self_(self),
+      agreement_(self),
+      introduction_(*loop),
       timer_(*loop) {}
 
 PermitExchange::~PermitExchange() { watch_->permits()->SetCourier(nullptr); }
@@ -63,16 +70,68 @@
                               TimePoint known_since) {
   std::map<std::string, PeerDatagrams::Address> before;
   before.swap(boxes_);
-  std::vector<GranterBox> granters;
+  std::vector<GranterBox> listed;
   for (const PeerDatagrams::Peer& box : boxes) {
     boxes_[box.name] = box.address;
-    granters.push_back({box.name, box.data_centre});
+    listed.push_back({box.name, box.data_centre});
   }
-  watch_->permits()->SetBoxes(std::move(granters));
-  watch_->permits()->GrantFrom(known_since);
+  agreement_.SetBoxes(listed);
+  // Boxes that told of themselves may not be listed yet.
+  for (const GranterBox& box : agreement_.others()) {
+    auto found = before.find(box.name);
+    if (found != before.end()) boxes_.insert(*found);
+  }
+  known_since_ = known_since;
+  UseBoxes();
   for (const auto& [name, address] : boxes_) {
     if (before.count(name) == 0) Greet(address);
   }
+  Introduce();
+}
+
+void PermitExchange::UseBoxes() {
+  watch_->permits()->SetBoxes(agreement_.others());
+  TimePoint from = agreement_.holds() ? TimePoint() : known_since_;
+  watch_->permits()->GrantFrom(from);
+}
+
+// A box that is new in the list would otherwise have to wait until all others
+// have surely read of it, and a fleet of new boxes would use no limited
+// endpoint for as long.
+void PermitExchange::Introduce() {
+  bool is_needed = !agreement_.holds() && Clock::now() < known_since_;
+  if (!is_needed) return;
+  for (const std::string& name : agreement_.Unsettled()) {
+    auto found = boxes_.find(name);
+    if (found == boxes_.end()) continue;
+    TellSelf(true, found->second);
+    agreement_.Asked(name);
+  }
+  UseBoxes();
+  introduction_.expires_after(kIntroduceAgain);
+  introduction_.async_wait([this](auto error) {
+    if (!error) Introduce();
+  });
+}
+
+void PermitExchange::TellSelf(bool asks, const PeerDatagrams::Address& box) {
+  PeerNotes notes;
+  BoxNote* note = notes.mutable_box();
+  note->set_name(self_.name);
+  note->set_data_centre(self_.data_centre);
+  note->set_digest(agreement_.digest());
+  note->set_asks(asks);
+  datagrams_->Send(notes, box);
+}
+
+void PermitExchange::HearBox(const BoxNote& note,
+                             const PeerDatagrams::Address& from) {
+  bool is_new =
+      agreement_.Heard({note.name(), note.data_centre()}, note.digest());
+  if (note.name() != self_.name) boxes_[note.name()] = from;
+  UseBoxes();
+  if (note.asks()) TellSelf(false, from);
+  if (is_new) Greet(from);
 }
 
 void PermitExchange::Greet(const PeerDatagrams::Address& box) {
@@ -127,6 +186,7 @@
 void PermitExchange::OnNotes(const PeerNotes& notes,
                              const PeerDatagrams::Address& from) {
   TimePoint now = Clock::now();
+  if (notes.has_box()) HearBox(notes.box(), from);
   for (const LimitNote& note : notes.limits()) {
     watch_->Heard(NewsOf(note, now), now);
   }
--- a/daemon/permit_exchange.h
+++ b/daemon/permit_exchange.h
@@ -20,6 +20,7 @@
 
 #include "daemon/limit_watch.h"
 #include "daemon/peer_datagrams.h"
+#include "leverwick/fleet_agreement.h"
 #include "net/metrics.h"
 #include "schema/peer.pb.h"
 
@@ -29,15 +30,16 @@
 class PermitExchange : private SendPermits::Courier,
                        private PeerDatagrams::Listener {
  public:
-  PermitExchange(boost::asio::io_context* loop, LimitWatch* watch,
-                 const EndpointDirectory* directory, PeerDatagrams* datagrams,
-                 Metrics* metrics);
+  PermitExchange(boost::asio::io_context* loop, const GranterBox& self,
+                 LimitWatch* watch, const EndpointDirectory* directory,
+                 PeerDatagrams* datagrams, Metrics* metrics);
   ~PermitExchange() override;
 
   // Begins to listen and to tell.
   void Start();
-  // All boxes but this one. `known_since`: from when on these know this box,
-  // which grants nothing before.
+  // All boxes but this one, as the list names them. `known_since`: from when on
+  // these know this box, which grants nothing before, unless all that answer
+  // say earlier that they know the same boxes.
   void SetBoxes(const std::vector<PeerDatagrams::Peer>& boxes,
                 TimePoint known_since);
 
@@ -49,6 +51,11 @@
                const PeerDatagrams::Address& from) override;
 
   void Tell(const LimitNews& news);
+  // Tells the boxes that may not know this one, until all do.
+  void Introduce();
+  void TellSelf(bool asks, const PeerDatagrams::Address& box);
+  void HearBox(const BoxNote& note, const PeerDatagrams::Address& from);
+  void UseBoxes();
   // The limits that this box deals out, to a box that is new.
   void Greet(const PeerDatagrams::Address& box);
   // Wakes who waits, and looks for asks that were lost, while any is open.
@@ -58,6 +65,10 @@
   const EndpointDirectory* const directory_;
   PeerDatagrams* const datagrams_;
   Metrics* const metrics_;
+  const GranterBox self_;
+  FleetAgreement agreement_;
+  TimePoint known_since_ = TimePoint::max();
+  boost::asio::steady_timer introduction_;
   boost::asio::steady_timer timer_;
   bool watching_ = false;                                // the timer runs
   std::map<std::string, PeerDatagrams::Address> boxes_;  // by name
--- a/daemon/testing/permit_exchange_test.cc
+++ b/daemon/testing/permit_exchange_test.cc
@@ -17,7 +17,7 @@
         directory(&pool, &slow_start),
         watch({name, "dc1"}, &directory, &metrics),
         datagrams(loop, &metrics),
-        exchange(loop, &watch, &directory, &datagrams, &metrics),
+        exchange(loop, {name, "dc1"}, &watch, &directory, &datagrams, &metrics),
         entry{name, "dc1", "127.0.0.1:" + std::to_string(address.port())} {
     DirectoryEntry endpoint;
     endpoint.id = "e";
