An endpoint that names a time is believed; names of scopes say what they leave out

A refusal with a time makes no last resort: its back-off says when requests may return, and a doubled time beyond it would idle the endpoint. Scopes of SendGates and a line's function get plainer names.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -64,11 +64,9 @@
   poison_.Answered(endpoint, answered.sent_at);
   limits_.Answered(endpoint, answer, answered.sent_at, now);
   backoffs_.Answered(endpoint, answer, now);
-  if (answer.not_run) {
-    refusals_.Refused(endpoint, now);
-  } else {
-    refusals_.Took(endpoint);
-  }
+  // One that names a time is believed.
+  if (answer.not_run && !answer.retry_after) refusals_.Refused(endpoint, now);
+  if (!answer.not_run) refusals_.Took(endpoint);
   if (answer.leaving) directory_.SaidLeaving(endpoint, now);
 }
 
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -181,7 +181,7 @@
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
   Result why = relay_->choice_.WhyNone(Wanted(model_), now);
-  if (why != Result::kNoEndpoint) TellShut(why, now);
+  if (why != Result::kNoEndpoint) TellUnavailable(why, now);
   if (stream_started_) return BreakStream("stream_broken");
   if (!log_.may_have_run()) return AnswerNotRun(why);
   AnswerFailure(Result::kUnknownOutcome);
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -117,7 +117,7 @@
   // The endpoint that the request would have gone to but for its limit.
   std::string PreferredText() const;
   // Limits or back-offs keep the request from all endpoints.
-  void TellShut(Result why, TimePoint now);
+  void TellUnavailable(Result why, TimePoint now);
   std::string TryStatus() const;
   // One line for a send, with what chose the endpoint.
   void TellSend(const DirectoryEntry& endpoint);
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -25,7 +25,7 @@
   return preferred_ + "=" + relay_->limits_.Describe(preferred_, try_->sent_at);
 }
 
-void RelayedRequest::TellShut(Result why, TimePoint now) {
+void RelayedRequest::TellUnavailable(Result why, TimePoint now) {
   relay_->metrics_.Add(why == Result::kEndpointsLimited
                            ? "leverwick_limited_requests_total"
                            : "leverwick_backed_off_requests_total",
--- a/leverwick/endpoint_choice.cc
+++ b/leverwick/endpoint_choice.cc
@@ -46,7 +46,7 @@
   // requests that a new one gets.
   if (wanted.side == Side::kBaseline) {
     WantedEndpoint open = wanted;
-    open.gates = SendGates::Scope::kNoWishes;
+    open.gates = SendGates::Scope::kIgnoreRequested;
     if (!ChooseOn(wanted.side, open, excluded, now).empty()) return "";
   }
   // A version without endpoints of its own leaves its requests to the other.
@@ -95,7 +95,7 @@
 std::string EndpointChoice::ChooseToAsk(const WantedEndpoint& wanted,
                                         TimePoint now) const {
   WantedEndpoint with_asks = wanted;
-  with_asks.gates = SendGates::Scope::kAskingPermits;
+  with_asks.gates = SendGates::Scope::kAskPermits;
   std::string chosen = Choose(with_asks, now);
   return facts_.gates->NeedsPermit(chosen, now) ? chosen : "";
 }
@@ -111,8 +111,10 @@
 Result EndpointChoice::WhyNone(const WantedEndpoint& wanted,
                                TimePoint now) const {
   using Scope = SendGates::Scope;
-  if (AnyWith(Scope::kNoLimits, wanted, now)) return Result::kEndpointsLimited;
-  if (AnyWith(Scope::kNoWishes, wanted, now)) return Result::kEndpointsBackOff;
+  if (AnyWith(Scope::kIgnoreLimits, wanted, now))
+    return Result::kEndpointsLimited;
+  if (AnyWith(Scope::kIgnoreRequested, wanted, now))
+    return Result::kEndpointsBackOff;
   return Result::kNoEndpoint;
 }
 
--- a/leverwick/send_gates.cc
+++ b/leverwick/send_gates.cc
@@ -40,7 +40,7 @@
 
 nanoseconds SendGates::Backoff(const ListedEndpoint& endpoint, Scope scope,
                                TimePoint now) const {
-  if (scope == Scope::kNoWishes) return nanoseconds(0);
+  if (scope == Scope::kIgnoreRequested) return nanoseconds(0);
   return parts_.backoffs->OpensIn(endpoint.address, now);
 }
 
@@ -52,10 +52,11 @@
 nanoseconds SendGates::Limit(const ListedEndpoint& endpoint, Scope scope,
                              TimePoint now) const {
   const std::string& id = endpoint.address;
-  bool left_out = scope == Scope::kNoLimits || scope == Scope::kNoWishes;
+  bool left_out =
+      scope == Scope::kIgnoreLimits || scope == Scope::kIgnoreRequested;
   if (left_out || parts_.permits->MaySend(id, now)) return nanoseconds(0);
   bool may_ask = parts_.permits->MayAsk(id, now);
-  if (scope == Scope::kAskingPermits && may_ask) return nanoseconds(0);
+  if (scope == Scope::kAskPermits && may_ask) return nanoseconds(0);
   // Without a permit it is shut, also where a granter may have room.
   return std::max(parts_.permits->RoomIn(id, now), nanoseconds(1));
 }
--- a/leverwick/send_gates.h
+++ b/leverwick/send_gates.h
@@ -39,9 +39,9 @@
   // Which gates a question is about.
   enum class Scope {
     kAll,
-    kAskingPermits,  // a limit keeps out only if no permit can be asked for
-    kNoLimits,       // limits are left out
-    kNoWishes,       // all that endpoints ask for themselves is left out
+    kAskPermits,       // a limit keeps out only if no permit can be asked for
+    kIgnoreLimits,     // limits are left out
+    kIgnoreRequested,  // limits and back-offs, which endpoints ask for, are
   };
 
   explicit SendGates(const Parts& parts) : parts_(parts) {}
