An endpoint that starts again under its id is no longer the one that left

What an endpoint says of leaving holds for the rest of its life, so that one which started again under its id would never have been used again. Cause: nothing read `born`. A later start ends leaving, back-offs and refusals; an entry of an earlier start that comes late changes nothing. Without `born` nothing changes.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -21,7 +21,7 @@
 // users' bound); what is left is for a request on its way.
 constexpr milliseconds kServesOn{1800};
 // An entry that lapsed may come back this much later.
-constexpr std::chrono::minutes kLeavingKept{10};
+constexpr std::chrono::minutes kLifeKept{10};
 
 // As the pool knows it: by the id of its life, not by its address.
 ListedEndpoint ListedOf(const DirectoryEntry& entry) {
@@ -38,12 +38,13 @@
 }  // namespace
 
 void EndpointDirectory::Put(const DirectoryEntry& listed, TimePoint now) {
+  if (!LearnLife(listed, now)) return;
   DirectoryEntry entry = listed;
   auto found = entries_.find(entry.id);
   bool is_new = found == entries_.end();
   // A life never comes back from leaving.
-  bool left = said_leaving_.count(entry.id) > 0 ||
-              (!is_new && found->second.entry.leaving);
+  bool left =
+      lives_[entry.id].said_leaving || (!is_new && found->second.entry.leaving);
   entry.leaving = entry.leaving || left;
   if (is_new || found->second.entry.leaving != entry.leaving) {
     kLog.Info(entry.leaving ? "Endpoint is leaving." : "Endpoint is listed.",
@@ -67,6 +68,26 @@
   if (is_news && !known.gone) pool_->Put(ListedOf(known.entry), now);
 }
 
+bool EndpointDirectory::LearnLife(const DirectoryEntry& entry, TimePoint now) {
+  Life& life = lives_[entry.id];
+  life.listed_at = now;
+  if (!entry.born) return true;
+  bool is_other = life.born && *life.born != *entry.born;
+  if (is_other && *entry.born < *life.born) return false;
+  life.born = entry.born;
+  if (!is_other) return true;
+  kLog.Info("Endpoint has started again under its id.",
+            {{"endpoint", entry.id}});
+  life.said_leaving = false;
+  auto known = entries_.find(entry.id);
+  if (known != entries_.end()) {
+    known->second.entry.leaving = false;
+    known->second.gone = false;
+  }
+  on_new_life_(entry.id);
+  return true;
+}
+
 void EndpointDirectory::Remove(const std::string& id, TimePoint now) {
   auto found = entries_.find(id);
   if (found == entries_.end()) return;
@@ -102,9 +123,11 @@
 }
 
 void EndpointDirectory::SaidLeaving(const std::string& id, TimePoint now) {
-  bool is_news = said_leaving_.emplace(id, now).second;
   auto found = entries_.find(id);
-  if (!is_news || found == entries_.end()) return;
+  if (found == entries_.end()) return;
+  Life& life = lives_[id];
+  if (life.said_leaving) return;
+  life.said_leaving = true;
   Known& known = found->second;
   kLog.Info("Endpoint says in an answer that it is leaving.",
             {{"endpoint", id},
@@ -136,14 +159,14 @@
     if (over) expired.push_back(id);
   }
   for (const std::string& id : expired) Erase(id);
-  ForgetLeaving(now);
+  ForgetLives(now);
 }
 
-void EndpointDirectory::ForgetLeaving(TimePoint now) {
-  for (auto said = said_leaving_.begin(); said != said_leaving_.end();) {
-    if (entries_.count(said->first) > 0) said->second = now;
-    bool old = now - said->second > kLeavingKept;
-    said = old ? said_leaving_.erase(said) : std::next(said);
+void EndpointDirectory::ForgetLives(TimePoint now) {
+  for (auto life = lives_.begin(); life != lives_.end();) {
+    if (entries_.count(life->first) > 0) life->second.listed_at = now;
+    bool old = now - life->second.listed_at > kLifeKept;
+    life = old ? lives_.erase(life) : std::next(life);
   }
 }
 
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -1,8 +1,9 @@
 // The endpoints that a platform lists, and how far each is to be believed.
 //
 // Entries come and go one at a time. An endpoint's own word that it is leaving,
-// in its entry or in an answer, binds at once and for good, whatever its entry
-// says later. An entry that vanished while the list could not be read may
+// in its entry or in an answer, binds at once and for the rest of its life,
+// whatever its entry says later; a later start under the same id is another
+// life. An entry that vanished while the list could not be read may
 // have lapsed only because the endpoint could not renew it: it is kept until
 // the endpoint has had time to come back, and is gone if it has not. One that
 // vanishes soon after the list is back may still have lapsed for that reason,
@@ -19,7 +20,9 @@
 #ifndef DAEMON_ENDPOINT_DIRECTORY_H_
 #define DAEMON_ENDPOINT_DIRECTORY_H_
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,7 +34,10 @@
 namespace leverwick {
 
 struct DirectoryEntry {
-  std::string id;  // of one life of the endpoint
+  std::string id;
+  // When its process started: with the id, it tells its lives apart. Unset: not
+  // told, and all under the id are one.
+  std::optional<WallTime> born;
   std::string address;
   std::string service;
   std::string data_centre;
@@ -45,7 +51,8 @@
   bool SameAs(const DirectoryEntry& other) const {
     return address == other.address && service == other.service &&
            data_centre == other.data_centre && version == other.version &&
-           places == other.places && leaving == other.leaving;
+           places == other.places && leaving == other.leaving &&
+           born == other.born;
   }
 };
 
@@ -63,6 +70,11 @@
   // The endpoint itself, or whoever has its address now, says that it is gone.
   void Gone(const std::string& id, TimePoint now);
 
+  // Called when an endpoint has started again under its id.
+  void OnNewLife(std::function<void(const std::string& id)> callback) {
+    on_new_life_ = std::move(callback);
+  }
+
   // An answer of the endpoint said that it is leaving.
   void SaidLeaving(const std::string& id, TimePoint now);
 
@@ -92,18 +104,29 @@
     bool gone = false;       // by its own word
   };
 
+  // The newest life under an id; kept for a time after its entry is gone, since
+  // one that lapsed may come back.
+  struct Life {
+    std::optional<WallTime> born;
+    bool said_leaving = false;
+    TimePoint listed_at{};  // last
+  };
+
+  // False if the entry is that of an earlier life than the newest.
+  bool LearnLife(const DirectoryEntry& entry, TimePoint now);
+
   // Whether an entry that vanishes now may come back, and how long it is kept.
   bool IsInDoubt(TimePoint now, TimePoint* kept_until) const;
 
   void Erase(const std::string& id);
-  void ForgetLeaving(TimePoint now);
+  void ForgetLives(TimePoint now);
 
   EndpointPool* const pool_;
   SlowStart* const slow_start_;
   std::map<std::string, Known> entries_;
-  // Endpoints that said in an answer that they leave, and when they were last
-  // listed: an entry that lapsed and comes back does not undo it.
-  std::map<std::string, TimePoint> said_leaving_;
+  std::map<std::string, Life> lives_;  // the newest by id; outlive entries
+  std::function<void(const std::string& id)> on_new_life_ =
+      [](const std::string&) {};
   bool away_ = false;
   TimePoint back_at_{};  // as of the first read after failed ones
   TimePoint read_at_{};  // as of the last read
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -49,6 +49,10 @@
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {
   ends_.OnEnded([this](const EndpointEnd& end) { OnEndpointEnd(end); });
+  directory_.OnNewLife([this](const std::string& id) {
+    backoffs_.backoffs()->Forget(id);
+    refusals_.Took(id);
+  });
 }
 
 Relay::~Relay() = default;
--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -58,6 +58,43 @@
   CHECK(listed.Serves(kStart + std::chrono::minutes(5)));
 }
 
+DirectoryEntry BornAt(milliseconds born) {
+  DirectoryEntry entry = MakeEntry("a");
+  entry.born = WallTime(born);
+  return entry;
+}
+
+TEST_CASE("an endpoint that starts again under its id is another one") {
+  Listed listed;
+  std::vector<std::string> started;
+  listed.directory.OnNewLife(
+      [&](const std::string& id) { started.push_back(id); });
+  listed.directory.Put(BornAt(milliseconds(1000)), kStart);
+  CHECK(started.empty());
+  listed.directory.SaidLeaving("a", kStart);
+  listed.directory.Put(BornAt(milliseconds(1000)), kStart);
+  CHECK_FALSE(listed.Serves(kStart));
+  listed.directory.Put(BornAt(milliseconds(2000)), kStart);
+  CHECK(listed.Serves(kStart));
+  CHECK(started.size() == 1);
+  // An entry of the earlier life that comes late changes nothing.
+  DirectoryEntry late = BornAt(milliseconds(1000));
+  late.leaving = true;
+  listed.directory.Put(late, kStart);
+  CHECK(listed.Serves(kStart));
+  // So it is where its entry was gone meanwhile, or its address another one's.
+  listed.directory.Gone("a", kStart);
+  CHECK_FALSE(listed.Serves(kStart));
+  listed.directory.Put(BornAt(milliseconds(3000)), kStart);
+  CHECK(listed.Serves(kStart));
+  listed.directory.SaidLeaving("a", kStart);
+  listed.directory.ReadSucceeded(kStart);
+  listed.directory.Remove("a", kStart);
+  listed.directory.Put(BornAt(milliseconds(4000)), kStart);
+  CHECK(listed.Serves(kStart));
+  CHECK(started.size() == 3);
+}
+
 TEST_CASE("what endpoints said of leaving is forgotten after they are gone") {
   Listed listed;
   TimePoint late = kStart + std::chrono::hours(1);
--- a/leverwick/backoffs.h
+++ b/leverwick/backoffs.h
@@ -58,6 +58,9 @@
   // Until the endpoint may get a request of this box; zero or less: now.
   nanoseconds OpensIn(const std::string& endpoint, TimePoint now) const;
 
+  // The endpoint has started again: what it asked for before is over.
+  void Forget(const std::string& endpoint) { backoffs_.erase(endpoint); }
+
   // Null: the endpoint has asked for none, or its end was long ago.
   const Backoff* Find(const std::string& endpoint) const;
   bool any() const { return !backoffs_.empty(); }
