A box that the list has lost waits again until the others know it

Once boxes had agreed, a box that others dropped from the list, and that found so on reading it, would have gone on granting next to the one in its place. Found by reading. It starts its introduction anew; tests of the agreement and of boxes over loopback.

--- a/daemon/permit_exchange.cc
+++ b/daemon/permit_exchange.cc
@@ -81,6 +81,10 @@
     auto found = before.find(box.name);
     if (found != before.end()) boxes_.insert(*found);
   }
+  // The list has lost this box: it waits anew until the others know it.
+  bool was_dropped =
+      known_since_ != TimePoint::max() && known_since > known_since_;
+  if (was_dropped) agreement_.Restart();
   known_since_ = known_since;
   UseBoxes();
   for (const auto& [name, address] : boxes_) {
--- a/daemon/testing/permit_exchange_test.cc
+++ b/daemon/testing/permit_exchange_test.cc
@@ -160,5 +160,28 @@
   CHECK_FALSE(box.watch.limits().any());
 }
 
+// Until long after the test.
+constexpr std::chrono::seconds kNotYetKnown{60};
+
+TEST_CASE(
+    "a new box grants once the others know it and no longer when dropped") {
+  boost::asio::io_context loop;
+  Box first(&loop, "b1");
+  Box second(&loop, "b2");
+  second.Know({});
+  TimePoint known = Clock::now() + kNotYetKnown;
+  first.exchange.SetBoxes(PeerDatagrams::PeersOf({second.entry}), known);
+  first.Hear(20);
+  REQUIRE(RunUntil(&loop, [&] { return first.HasPermit(); }));
+  // The other one has heard of it although its list does not name it.
+  REQUIRE(RunUntil(&loop, [&] { return second.HasPermit(); }));
+  // Dropped from the list while nobody answers.
+  first.exchange.SetBoxes({}, known + kNotYetKnown);
+  first.watch.permits()->Sent("e", Clock::now());
+  TimePoint later = Clock::now() + milliseconds(1500);
+  RunUntil(&loop, [&] { return Clock::now() >= later; });
+  CHECK_FALSE(first.HasPermit());
+}
+
 }  // namespace
 }  // namespace leverwick
--- a/leverwick/fleet_agreement.cc
+++ b/leverwick/fleet_agreement.cc
@@ -27,6 +27,14 @@
   Judge();
 }
 
+void FleetAgreement::Restart() {
+  holds_ = false;
+  for (auto& entry : others_) {
+    entry.second.digest.reset();
+    entry.second.asks = 0;
+  }
+}
+
 bool FleetAgreement::Heard(const GranterBox& box, uint64_t digest) {
   if (box.name == self_.name) return false;
   bool is_new = others_.count(box.name) == 0;
--- a/leverwick/fleet_agreement.h
+++ b/leverwick/fleet_agreement.h
@@ -43,6 +43,8 @@
   // All boxes that the list names but this one; replaces them. Those that told
   // of themselves and that the list does not name yet stay.
   void SetBoxes(const std::vector<GranterBox>& others);
+  // The others have dropped this box from the list: it is new to them again.
+  void Restart();
   // A box told of itself, and the digest of the boxes that it knows. True if it
   // was not known here.
   bool Heard(const GranterBox& box, uint64_t digest);
--- a/leverwick/testing/fleet_agreement_test.cc
+++ b/leverwick/testing/fleet_agreement_test.cc
@@ -135,6 +135,19 @@
   CHECK_FALSE(alone.at(0).holds());
 }
 
+TEST_CASE("a box that the others dropped must be known to them again") {
+  Fleet fleet(3, 0, 1);
+  for (size_t box = 0; box < 3; ++box) fleet.Read(box, 3);
+  fleet.Round();
+  fleet.Round();
+  CHECK(fleet.at(0).holds());
+  fleet.at(0).Restart();
+  fleet.Read(0, 3);
+  CHECK_FALSE(fleet.at(0).holds());
+  fleet.Introduce(0);
+  CHECK(fleet.at(0).holds());
+}
+
 TEST_CASE("a box that told of itself stays until the list could name it") {
   FleetAgreement agreement(BoxOf(0));
   agreement.SetBoxes({BoxOf(1)});
