A request that ends endpoints which start again under their ids is held

Callers saw their answers lost again and again: a request that ends the endpoints that run it went on being sent where each of them came back under its own id.

Cause: an endpoint that answers a later call is taken not to have ended, and its strikes are taken back; the next life under the same id did so.

Change: strikes name lives of endpoints (id and start, leverwick/endpoint_life), the same on all boxes, and an answer speaks for its own life. Where an endpoint does not say when it started, what its entry leaves behind when it goes is not taken back any more.

Open: an endpoint that keeps its entry while it is away, for the time until the new one is read (2.6 s), and one that keeps it and tells no start.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 
+#include "leverwick/endpoint_life.h"
 #include "net/log.h"
 
 namespace leverwick {
@@ -215,6 +216,13 @@
   kLog.Info("Endpoint is no longer listed.", {{"endpoint", id}});
   entries_.erase(id);
   pool_->Remove(id);
+  on_gone_(LifeOf(id));
+}
+
+std::string EndpointDirectory::LifeOf(const std::string& id) const {
+  auto found = lives_.find(id);
+  if (found == lives_.end()) return id;
+  return LifeName(id, found->second.born);
 }
 
 }  // namespace leverwick
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -75,6 +75,13 @@
     on_new_life_ = std::move(callback);
   }
 
+  // Called with the name of its life when an endpoint's entry is gone.
+  void OnGone(std::function<void(const std::string& life)> callback) {
+    on_gone_ = std::move(callback);
+  }
+  // The name of the newest life known under an id (leverwick/endpoint_life.h).
+  std::string LifeOf(const std::string& id) const;
+
   // An answer of the endpoint said that it is leaving.
   void SaidLeaving(const std::string& id, TimePoint now);
 
@@ -127,6 +134,8 @@
   std::map<std::string, Life> lives_;  // the newest by id; outlive entries
   std::function<void(const std::string& id)> on_new_life_ =
       [](const std::string&) {};
+  std::function<void(const std::string& life)> on_gone_ =
+      [](const std::string&) {};
   bool away_ = false;
   TimePoint back_at_{};  // as of the first read after failed ones
   TimePoint read_at_{};  // as of the last read
--- a/daemon/poison_exchange.cc
+++ b/daemon/poison_exchange.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "leverwick/endpoint_life.h"
 #include "net/log.h"
 
 namespace leverwick {
@@ -79,7 +80,7 @@
   }
   if (age > PoisonRequests::kRemembered) return;
   auto ended = poison_->Merge(notes, Clock::now() - age, own);
-  for (const auto& [endpoint, at] : ended) ends_->Told(endpoint, at);
+  for (const auto& [life, at] : ended) ends_->Told(IdOfLife(life), at);
 }
 
 void PoisonExchange::Write(TimePoint now) {
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -53,6 +53,7 @@
     backoffs_.backoffs()->Forget(id);
     refusals_.Took(id);
   });
+  directory_.OnGone([this](const std::string& life) { poison_.Gone(life); });
 }
 
 Relay::~Relay() = default;
@@ -65,7 +66,7 @@
   reach_.Answered(endpoint);
   // The word of another one at its address says that it has ended.
   if (answer.other_endpoint) return;
-  poison_.Answered(endpoint, answered.sent_at);
+  poison_.Answered(directory_.LifeOf(endpoint), answered.sent_at);
   limits_.Answered(endpoint, answer, answered.sent_at, now);
   backoffs_.Answered(endpoint, answer, now);
   // One that names a time is believed.
@@ -76,7 +77,10 @@
 
 void Relay::OnEndpointEnd(const EndpointEnd& end) {
   metrics_.Add("leverwick_endpoint_ends_total", "", 1);
-  poison_.EndedUnder(end.under, end.at);
+  // What the next life under its id answers says nothing of this one.
+  std::vector<EndpointRun> under = end.under;
+  for (EndpointRun& run : under) run.endpoint = directory_.LifeOf(run.endpoint);
+  poison_.EndedUnder(under, end.at);
   TellPoison();
   ends_told_();
 }
--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -39,6 +39,31 @@
   directory->ReadSucceeded(back);
 }
 
+TEST_CASE("lives under one id have names of their own and end with the entry") {
+  Listed listed;
+  std::vector<std::string> gone;
+  listed.directory.OnGone(
+      [&](const std::string& life) { gone.push_back(life); });
+  CHECK(listed.directory.LifeOf("a") == "a");
+  DirectoryEntry entry = MakeEntry("a");
+  entry.born = WallTime(milliseconds(1000));
+  listed.directory.Put(entry, kStart);
+  std::string first = listed.directory.LifeOf("a");
+  CHECK(first != "a");
+  entry.born = WallTime(milliseconds(2000));
+  listed.directory.Put(entry, kStart);
+  std::string second = listed.directory.LifeOf("a");
+  CHECK(second != first);
+  // An earlier life's word changes nothing.
+  entry.born = WallTime(milliseconds(1000));
+  listed.directory.Put(entry, kStart);
+  CHECK(listed.directory.LifeOf("a") == second);
+  listed.directory.ReadSucceeded(kStart);
+  listed.directory.Remove("a", kStart + std::chrono::minutes(5));
+  CHECK(gone == std::vector<std::string>{second});
+  CHECK(listed.directory.LifeOf("a") == second);
+}
+
 TEST_CASE("an endpoint that says in an answer that it leaves never returns") {
   Listed listed;
   listed.directory.SaidLeaving("a", kStart);
--- /dev/null
+++ b/leverwick/endpoint_life.h
@@ -0,0 +1,25 @@
+// The name of one life of an endpoint: its id, and when it started if it says
+// so. An endpoint that starts again under its id is another one to whoever
+// remembers what the earlier one did, and all boxes give both the same names.
+//
+//   std::string life = LifeName("i-1", born);
+//   IdOfLife(life) == "i-1"
+
+#ifndef LEVERWICK_ENDPOINT_LIFE_H_
+#define LEVERWICK_ENDPOINT_LIFE_H_
+
+#include <optional>
+#include <string>
+
+#include "leverwick/time.h"
+
+namespace leverwick {
+
+// Without a start the name is the id.
+std::string LifeName(const std::string& id, std::optional<WallTime> born);
+
+std::string IdOfLife(const std::string& life);
+
+}  // namespace leverwick
+
+#endif  // LEVERWICK_ENDPOINT_LIFE_H_
--- a/leverwick/poison_requests.h
+++ b/leverwick/poison_requests.h
@@ -11,7 +11,8 @@
 //
 //   - an answer whose endpoint lives on takes back its strikes on that version;
 //   - one that was answered well before is excused from three ends in a row;
-//   - an endpoint that answers a later call has not ended;
+//   - an endpoint that answers a later call has not ended; endpoints are named
+//     by their lives, since one that starts again under its id may answer;
 //   - ends at the same moment, as of a whole data centre, count as one.
 //
 // What boxes know is merged in any order and any number of times: strikes are
@@ -83,6 +84,9 @@
   void EndedUnder(const std::vector<EndpointRun>& runs, TimePoint ended_at);
   // The run came whole and its endpoint has lived on.
   void Survived(const EndpointRun& run, TimePoint now);
+  // The endpoint's entry is gone: whoever answers under this name later proves
+  // nothing of the ends before.
+  void Gone(const std::string& endpoint) { struck_.erase(endpoint); }
   // The endpoint has answered a call that was sent at `sent_at`.
   void Answered(const std::string& endpoint, TimePoint sent_at);
 
--- a/leverwick/testing/poison_requests_test.cc
+++ b/leverwick/testing/poison_requests_test.cc
@@ -171,6 +171,19 @@
   CHECK(KindAt(poison, request, 4100) == Kind::kHold);
 }
 
+TEST_CASE(
+    "an answer under the id of an endpoint whose entry was gone is none") {
+  PoisonRequests poison("a");
+  RequestDigest request = Request("x");
+  EndThree(&poison, request);
+  poison.Gone("v1-e1");
+  poison.Answered("v1-e1", At(2100));
+  CHECK(KindAt(poison, request, 3200) == Kind::kHold);
+  // The others' entries have stayed: one that answers has not ended.
+  poison.Answered("v1-e2", At(3300));
+  CHECK(KindAt(poison, request, 3400) == Kind::kSend);
+}
+
 TEST_CASE("those beside a held request under fewer ends are not held") {
   PoisonRequests poison("a");
   RequestDigest guilty = Request("guilty");
