Sends to larger models leave a retry to requests that were turned away

What was missing is a retry of the service's budget: each weak answer takes one, and nothing was left for the request that had none.

A send that only improves an answer now takes a retry only where one remains. The share of retries is the same in the long run; the last one goes to whom it serves most. The line of a try's end names the retries left, which no line told before.

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -134,7 +134,7 @@
   void CountEnd(const std::string& organisation, const std::string& outcome,
                 int status);
   // Whether the budget of the service allows one more send.
-  bool TakeRetry(const std::string& service);
+  bool TakeRetry(const std::string& service, RetryBudget::Purpose purpose);
   RetryBudget* BudgetOf(const std::string& service);
   milliseconds ProofAge() const;
   // A share from 0 to 1, drawn anew.
--- a/daemon/relay_metrics.cc
+++ b/daemon/relay_metrics.cc
@@ -31,8 +31,9 @@
       1);
 }
 
-bool Relay::TakeRetry(const std::string& service) {
-  bool allowed = BudgetOf(service)->Take();
+bool Relay::TakeRetry(const std::string& service,
+                      RetryBudget::Purpose purpose) {
+  bool allowed = BudgetOf(service)->Take(purpose);
   metrics_.Add("leverwick_retries_total",
                Label("service", service) + "," +
                    Label("outcome", allowed ? "allowed" : "no_budget"),
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -274,7 +274,7 @@
   return better != model_ && relay_->cascade_.IsWeak(confidence) &&
          log_.attempts_left() &&
          TimeLeft(Clock::now()) > route_.objective / 4 && CanFinish(better) &&
-         relay_->TakeRetry(service_);
+         relay_->TakeRetry(service_, RetryBudget::Purpose::kImprove);
 }
 
 bool RelayedRequest::CanFinish(size_t model) {
@@ -411,7 +411,8 @@
   if (TimeLeft(Clock::now()) < kLeastTime) return false;
   bool first_never_left =
       outcome == AttemptOutcome::kNotSent && log_.attempts() <= 1;
-  return first_never_left || relay_->TakeRetry(service_);
+  return first_never_left ||
+         relay_->TakeRetry(service_, RetryBudget::Purpose::kAnswer);
 }
 
 void RelayedRequest::EndTry(AttemptOutcome outcome) {
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -92,6 +92,7 @@
 }
 
 void RelayedRequest::TellTryEnd(AttemptOutcome outcome, NextStep step) {
+  auto retries_left = static_cast<int>(relay_->BudgetOf(service_)->level());
   relay_->metrics_.Add("leverwick_tries_ended_total",
                        std::string("outcome=\"") + NameOf(outcome) + "\"", 1);
   relay_->sampler_.CountLine(Clock::now());
@@ -103,6 +104,7 @@
              {"outcome", NameOf(outcome)},
              {"status", TryStatus()},
              {"after_event", LastEvent()},
+             {"retries_left", std::to_string(retries_left)},
              {"next", NameOf(step)}});
 }
 
--- a/leverwick/retry_budget.h
+++ b/leverwick/retry_budget.h
@@ -3,6 +3,8 @@
 //
 // Each box keeps its own account, so the sum over boxes holds without talk:
 // in any span retries are at most `most` a box and `share` of its requests.
+// Sends that only improve an answer leave the last retry to requests that
+// would otherwise stay without one.
 //
 //   RetryBudget budget(0.1);
 //   budget.Count();              // at each new request
@@ -19,6 +21,12 @@
 // Thread-safe.
 class RetryBudget {
  public:
+  // What a send beyond a request's first is for.
+  enum class Purpose {
+    kAnswer,   // the request has no answer yet
+    kImprove,  // it has one, which a larger model may better
+  };
+
   // `share` retries are allowed per request; a quiet box begins with `start`
   // and saves up to `most`.
   explicit RetryBudget(double share, double start = kStart, double most = kMost)
@@ -35,9 +43,10 @@
     return level_;
   }
 
-  bool Take() {
+  bool Take(Purpose purpose = Purpose::kAnswer) {
     std::lock_guard<std::mutex> lock(mutex_);
-    if (level_ < 1) return false;
+    double left = purpose == Purpose::kImprove ? kLeftToAnswer : 0;
+    if (level_ < 1 + left) return false;
     level_ -= 1;
     return true;
   }
@@ -46,6 +55,8 @@
   // Lets a quiet box retry its first failures, and a burst be bounded.
   static constexpr double kStart = 10;
   static constexpr double kMost = 100;
+  // Retries that sends to improve an answer leave.
+  static constexpr double kLeftToAnswer = 1;
 
   const double share_;
   const double most_;
--- a/leverwick/testing/relay_decisions_test.cc
+++ b/leverwick/testing/relay_decisions_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <random>
 
 #include "leverwick/attempts.h"
@@ -145,6 +146,21 @@
   CHECK(taken == 5);
 }
 
+TEST_CASE("sends that improve answers leave a retry to requests without") {
+  using Purpose = RetryBudget::Purpose;
+  RetryBudget budget(0.5, 2, 5);
+  double least = budget.level();
+  int improved = 0;
+  for (int i = 0; i < 100; ++i) {
+    budget.Count();
+    improved += budget.Take(Purpose::kImprove);
+    least = std::min(least, budget.level());
+  }
+  CHECK(least >= 1);
+  CHECK(improved >= 50);
+  CHECK(budget.Take(Purpose::kAnswer));
+}
+
 TEST_CASE("the small model is asked first while its answers are good") {
   ServiceRoute route = MakeRoute("x", "/");
   route.models = {"small", "middle", "large"};
