--- a/daemon/limit_watch.cc
+++ b/daemon/limit_watch.cc
@@ -48,6 +48,11 @@
   if (change == Change::kBegan || change == Change::kEnded) on_news_(news);
 }
 
+void LimitWatch::Restarted(const std::string& endpoint, TimePoint now) {
+  Change change = limits_.Restarted(endpoint, now);
+  Tell({endpoint, std::nullopt, now}, change, "restart", now);
+}
+
 void LimitWatch::Heard(const LimitNews& news, TimePoint now) {
   Tell(news, Apply(news), "box", now);
 }
--- a/daemon/limit_watch.h
+++ b/daemon/limit_watch.h
@@ -44,6 +44,8 @@
   // An endpoint has answered a request that was sent to it at `sent_at`.
   void Answered(const std::string& endpoint, const AnswerHead& answer,
                 TimePoint sent_at, TimePoint now);
+  // The endpoint has started again under its id.
+  void Restarted(const std::string& endpoint, TimePoint now);
   // Another box tells.
   void Heard(const LimitNews& news, TimePoint now);
   // Called with what this box's own answers have begun or ended.
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -49,10 +49,7 @@
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {
   ends_.OnEnded([this](const EndpointEnd& end) { OnEndpointEnd(end); });
-  directory_.OnNewLife([this](const std::string& id) {
-    backoffs_.backoffs()->Forget(id);
-    refusals_.Took(id);
-  });
+  directory_.OnNewLife([this](const std::string& id) { OnNewLife(id); });
   directory_.OnGone([this](const std::string& life) { poison_.Gone(life); });
 }
 
@@ -75,6 +72,14 @@
   if (answer.leaving) directory_.SaidLeaving(endpoint, now);
 }
 
+void Relay::OnNewLife(const std::string& endpoint) {
+  backoffs_.backoffs()->Forget(endpoint);
+  refusals_.Took(endpoint);
+  reach_.Answered(endpoint);
+  loads_.Restarted(endpoint);
+  limits_.Restarted(endpoint, Clock::now());
+}
+
 void Relay::OnEndpointEnd(const EndpointEnd& end) {
   metrics_.Add("leverwick_endpoint_ends_total", "", 1);
   // What the next life under its id answers says nothing of this one.
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -125,6 +125,8 @@
                TimePoint now, KeyHolder* holder) const;
   // Takes in all that the head of an answer says of its endpoint.
   void Heard(const EndpointTry& answered);
+  // What its earlier life said, did and knew says nothing of the new one.
+  void OnNewLife(const std::string& endpoint);
   void OnEndpointEnd(const EndpointEnd& end);
   PoisonVerdict JudgeRequest(const RequestDigest& digest,
                              const std::string& service, TimePoint now) const;
--- a/leverwick/endpoint_limits.cc
+++ b/leverwick/endpoint_limits.cc
@@ -35,6 +35,12 @@
   return Change::kEnded;
 }
 
+EndpointLimits::Change EndpointLimits::Restarted(const std::string& endpoint,
+                                                 TimePoint at) {
+  ended_[endpoint] = at;
+  return limits_.erase(endpoint) > 0 ? Change::kEnded : Change::kNothing;
+}
+
 const NamedLimit* EndpointLimits::Find(const std::string& endpoint) const {
   auto found = limits_.find(endpoint);
   return found == limits_.end() ? nullptr : &found->second;
--- a/leverwick/endpoint_limits.h
+++ b/leverwick/endpoint_limits.h
@@ -54,14 +54,18 @@
   size_t size() const { return limits_.size(); }
   std::vector<std::string> endpoints() const;
 
+  // The endpoint has started again: what its earlier life named is over, also
+  // where news of it comes later.
+  Change Restarted(const std::string& endpoint, TimePoint at);
+
   // Forgets endpoints that are no longer listed, and old ends.
   void Forget(const std::string& endpoint);
   void Expire(TimePoint now);
 
  private:
   std::unordered_map<std::string, NamedLimit> limits_;
-  // When the last request was sent whose answer named none: older news of a
-  // limit is outdated.
+  // When the last request was sent whose answer named none, or the endpoint
+  // started again: older news of a limit is outdated.
   std::unordered_map<std::string, TimePoint> ended_;
 };
 
--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -227,6 +227,13 @@
   Ended(ticket);
 }
 
+void EngineLoads::Restarted(const std::string& endpoint) {
+  auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) return;
+  found->second.parts.clear();
+  found->second.delay = 0;
+}
+
 void EngineLoads::Reached(const std::string& data_centre) {
   failures_.erase(data_centre);
 }
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -71,6 +71,9 @@
   void Ended(uint64_t ticket);
   // The endpoint could not be reached or broke off before it answered.
   void Failed(uint64_t ticket, const std::string& data_centre, TimePoint now);
+  // The endpoint has started again: it has read no prompt, and how late its
+  // answers were says nothing any more.
+  void Restarted(const std::string& endpoint);
   // It answered, so its data centre can be reached.
   void Reached(const std::string& data_centre);
   // The wait to add for a data centre that could not be reached lately.
--- a/leverwick/testing/endpoint_limits_test.cc
+++ b/leverwick/testing/endpoint_limits_test.cc
@@ -31,6 +31,16 @@
   CHECK(limits.Find("a") == nullptr);
 }
 
+TEST_CASE("a limit ends with the life that named it, also where news is late") {
+  EndpointLimits limits;
+  limits.Named("a", 2, At(100));
+  CHECK(limits.Restarted("a", At(200)) == Change::kEnded);
+  CHECK(limits.Find("a") == nullptr);
+  CHECK(limits.Named("a", 2, At(150)) == Change::kNothing);
+  CHECK(limits.Named("a", 3, At(201)) == Change::kBegan);
+  CHECK(limits.Restarted("b", At(200)) == Change::kNothing);
+}
+
 TEST_CASE("a limit that only some answers name holds") {
   EndpointLimits limits;
   for (int ms = 0; ms < 10000; ms += 200) {
--- a/leverwick/testing/engine_loads_test.cc
+++ b/leverwick/testing/engine_loads_test.cc
@@ -31,6 +31,15 @@
   CHECK(Wait(loads, "a", later) == doctest::Approx(Wait(loads, "b", later)));
 }
 
+TEST_CASE("an endpoint that starts again has read nothing and delays nothing") {
+  EngineLoads loads;
+  loads.Began(loads.Sent("a", kWork, kStart), kStart + std::chrono::seconds(5));
+  TimePoint later = kStart + std::chrono::seconds(5);
+  CHECK(Wait(loads, "a", later) != doctest::Approx(Wait(loads, "b", later)));
+  loads.Restarted("a");
+  CHECK(Wait(loads, "a", later) == doctest::Approx(Wait(loads, "b", later)));
+}
+
 TEST_CASE("where nothing tells, the endpoint that all boxes prefer is taken") {
   EngineLoads loads;
   CHECK(Wait(loads, "a", kStart, true) < Wait(loads, "b", kStart, false));
