Boxes save one retry more, which larger models leave

So the one that is left comes on top: a box that starts has saved 3 in place of 2, a quiet one 6 in place of 5; the share of requests is as before.

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -59,9 +59,11 @@
   nanoseconds proof_age{0};  // oldest proof of the configuration in force
   // Whether keyed work is refused without a proof (leverwick/key_trust.h).
   bool strict_withdrawal = true;
-  double retry_share = 0.6;     // sends beyond a request's first, of requests
-  double retry_start = 2;       // saved up by a box that has just started
-  double retry_most = 5;        // saved up by a quiet box
+  double retry_share = 0.6;  // sends beyond a request's first, of requests
+  // Saved up by a box that has just started, and at most; one of them is left
+  // to requests without an answer (leverwick/retry_budget.h).
+  double retry_start = 3;
+  double retry_most = 6;
   nanoseconds far_megabyte{0};  // weight of bytes to other data centres
   double weak_answer = 0.5;  // confidence under which a larger model is asked
   RolloutOptions rollout;
