--- a/leverwick/testing/poison_play.h
+++ b/leverwick/testing/poison_play.h
@@ -25,7 +25,10 @@
   bool holds = true;        // false: as without any memory
   double others = 90;       // requests a second, all different
   double popular = 20;      // a second, all the same
-  double poison = 2;        // a second, all the same
+  double poison = 2;        // a second
+  size_t bodies = 1;        // different ones among these
+  size_t ends_one_in = 1;   // of its runs ends its endpoint
+  bool silent = false;      // ends without closing a connection
   double chance_ends = 0;   // of endpoints, a second
   milliseconds news{150};   // until a box's note has reached the others
   milliseconds down{3000};  // of an endpoint
@@ -112,7 +115,10 @@
   }
 
   void Arrive() {
-    if (Happens(fleet_.poison)) Begin(Kind::kPoison, "poison");
+    if (Happens(fleet_.poison)) {
+      size_t body = random_() % fleet_.bodies;
+      Begin(Kind::kPoison, "poison-" + std::to_string(body));
+    }
     if (Happens(fleet_.popular)) Begin(Kind::kPopular, "popular");
     if (Happens(fleet_.others)) {
       Begin(Kind::kOther, "other-" + std::to_string(result_.others));
@@ -160,6 +166,7 @@
 
   void RunPoison(Endpoint* endpoint) {
     if (third_end_ && now_ > *third_end_ + kContact) ++result_.poison_late;
+    if (++poison_runs_ % fleet_.ends_one_in != 0) return;
     TimePoint ends_at = now_ + milliseconds(40 + random_() % 80);
     if (ends_at >= endpoint->ends_at) return;
     endpoint->ends_at = ends_at;
@@ -185,6 +192,9 @@
       if (here) broken.push_back(*entry);
       entry = here ? tries_.erase(entry) : std::next(entry);
     }
+    // What falls silent is given up when its time is over; no box learns of an
+    // end.
+    if (fleet_.silent) return;
     for (const Try& one : broken) {
       Box& box = *boxes_[one.box];
       box.poison.EndedUnder(box.runs.TakeUnder(name, now_), now_);
@@ -250,6 +260,7 @@
   std::list<Note> notes_;
   TimePoint now_{};
   std::optional<TimePoint> third_end_;
+  size_t poison_runs_ = 0;
   PlayedPoison result_;
 };
 
