--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -22,6 +22,12 @@
   return ask.snapshot() || cache.end() > ask.from();
 }
 
+void AnswerEmpty(ServerExchange* exchange, int status) {
+  HttpHead head;
+  head.status = status;
+  exchange->Answer(std::move(head), "");
+}
+
 LogAnswer AnswerOf(const LogCache& cache, uint64_t from, TimePoint received) {
   LogAnswer answer;
   LogPage page;
@@ -58,11 +64,14 @@
 }
 
 void LogServer::Handle(const std::shared_ptr<ServerExchange>& exchange) {
+  auto receiver = receivers_.find(exchange->head().target);
+  if (receiver != receivers_.end()) {
+    bool is_readable = receiver->second(exchange->body());
+    return AnswerEmpty(exchange.get(), is_readable ? 200 : 400);
+  }
   LogAsk ask;
   if (!ask.ParseFromString(exchange->body())) {
-    HttpHead head;
-    head.status = 400;
-    return exchange->Answer(std::move(head), "");
+    return AnswerEmpty(exchange.get(), 400);
   }
   auto cache = caches_.find(ask.topic());
   bool hold = cache != caches_.end() && ask.wait_ms() > 0 &&
--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -32,6 +33,11 @@
 
   // `cache` must outlive this.
   void Share(const std::string& topic, LogCache* cache);
+  // Hands what is sent to `path` to `take`, which says whether it was readable.
+  void Receive(const std::string& path,
+               std::function<bool(const std::string& body)> take) {
+    receivers_[path] = std::move(take);
+  }
   std::error_code Listen(const boost::asio::ip::tcp::endpoint& address);
 
   size_t held_asks() const { return held_.size(); }
@@ -53,6 +59,7 @@
   boost::asio::io_context* const loop_;
   AsyncHttpServer server_;
   std::map<std::string, LogCache*> caches_;  // by topic
+  std::map<std::string, std::function<bool(const std::string&)>> receivers_;
   std::list<std::shared_ptr<HeldAsk>> held_;
 };
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -108,6 +108,11 @@
   void OnEnds(std::function<void()> callback) {
     ends_told_ = std::move(callback);
   }
+  // Called with its organisation once a request has begun to run at an endpoint;
+  // not for requests without an organisation.
+  void OnRun(std::function<void(const std::string&)> callback) {
+    run_began_ = std::move(callback);
+  }
   // Called before each such text, to set what others know.
   void OnMetrics(std::function<void()> callback) {
     state_gauges_ = std::move(callback);
@@ -180,6 +185,8 @@
   std::set<std::string> told_organisations_;  // those with own counters
   std::function<void()> state_gauges_ = [] {};
   std::function<void()> ends_told_ = [] {};
+  std::function<void(const std::string&)> run_began_ =
+      [](const std::string&) {};
 };
 
 }  // namespace leverwick
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -252,6 +252,7 @@
   try_->answer = answer;
   try_->head = head;
   relay_->Heard(*try_);
+  if (!answer.not_run && !answer.other_endpoint) NoteRun();
   try_->streams =
       answer.succeeded() && answer.signed_whole && answer.event_stream;
   if (try_->streams) {
@@ -266,6 +267,14 @@
   return true;
 }
 
+// A request that runs again, for a better answer or after a failure, counts
+// once.
+void RelayedRequest::NoteRun() {
+  if (has_run_) return;
+  has_run_ = true;
+  if (!holder_.organisation.empty()) relay_->run_began_(holder_.organisation);
+}
+
 bool RelayedRequest::IsTooWeak() {
   const AnswerHead& answer = try_->answer;
   bool could_ask = request_.any_model && route_.repeatable() && !is_trial_ &&
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -78,6 +78,8 @@
   void OnCallFailed(const ClientCall::Failure& failure) override;
 
   // Judging a try.
+  // The request has begun to run.
+  void NoteRun();
   bool IsTooWeak();
   // Whether the model of that index is expected to finish in time.
   bool CanFinish(size_t model);
@@ -147,6 +149,7 @@
   boost::asio::steady_timer timer_;
   TimePoint deadline_{};
   AttemptHistory log_;
+  bool has_run_ = false;  // at any endpoint
   std::set<std::string> tried_;
   std::string last_tried_;
   int dispatches_ = 0;
