Endpoints are ordered by the demand of the fleet, reclaimable ones first

Change: each box tells the holder of the duties its mean number of requests in flight; EndpointScaler keeps 0.4 of the places taken at the recent peak, takes endpoints that may be reclaimed where they are cheaper, and gives regular ones up only when others serve.

--- a/daemon/duty_calls.h
+++ b/daemon/duty_calls.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <system_error>
 
+#include "leverwick/endpoint_scaler.h"
 #include "leverwick/usage_windows.h"
 
 namespace leverwick {
@@ -28,6 +29,9 @@
   // Sends such a text.
   virtual void ReportUsage(uint64_t token, const std::string& report,
                            Callback callback) = 0;
+  // kNoEndpoint: the platform has no endpoints of that kind there at present.
+  virtual void OrderEndpoints(uint64_t token, const ScaleOrder& order,
+                              Callback callback) = 0;
 };
 
 }  // namespace leverwick
--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -212,6 +212,20 @@
   return all > 0 && 2 * warm >= all;
 }
 
+SupplyByDataCentre EndpointDirectory::SupplyOf(const std::string& service,
+                                               TimePoint now) const {
+  SupplyByDataCentre supply;
+  for (const auto& [id, known] : entries_) {
+    const DirectoryEntry& entry = known.entry;
+    if (entry.service != service) continue;
+    EndpointSupply& there = supply[entry.data_centre];
+    bool accepts = !entry.leaving && !known.gone && known.cold_until <= now;
+    if (!accepts) continue;
+    ++(entry.reclaimable ? there.reclaimable : there.regular);
+  }
+  return supply;
+}
+
 void EndpointDirectory::Erase(const std::string& id) {
   kLog.Info("Endpoint is no longer listed.", {{"endpoint", id}});
   entries_.erase(id);
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "leverwick/endpoint_pool.h"
+#include "leverwick/endpoint_scaler.h"
 #include "leverwick/slow_start.h"
 #include "leverwick/time.h"
 
@@ -45,6 +46,7 @@
   size_t places = 1;
   bool leaving = false;
   milliseconds cold_for{0};  // how much longer it bears few requests only
+  bool reclaimable = false;  // the platform may take it away at any time
 
   // Whether the pool would hold the same of both; how cold they are is not the
   // pool's.
@@ -101,6 +103,8 @@
   // False for a version without endpoints.
   bool IsWarm(const std::string& service, const std::string& version,
               TimePoint when) const;
+  // Endpoints of a service that accept requests, by data centre.
+  SupplyByDataCentre SupplyOf(const std::string& service, TimePoint now) const;
   size_t size() const { return entries_.size(); }
 
  private:
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -45,6 +45,7 @@
               options.regions),
       connections_(loop, options.connections),
       ends_(loop, &directory_, &rollouts_, &connections_),
+      demand_(Clock::now()),
       poison_(options.life),
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -41,6 +41,7 @@
 #include "leverwick/retry_budget.h"
 #include "leverwick/send_eligibility.h"
 #include "leverwick/service_config.h"
+#include "leverwick/service_demand.h"
 #include "leverwick/service_rollouts.h"
 #include "leverwick/version_estimates.h"
 #include "net/async_http_client.h"
@@ -96,6 +97,7 @@
   RegressionDetector* guard() { return &guard_; }
   PoisonRequests* poison() { return &poison_; }
   EndpointEnds* ends() { return &ends_; }
+  ServiceDemand* demand() { return &demand_; }
   const VersionWatch* watch() const { return &watch_; }
 
   // A planned stop goes on for too long to begin more work: what comes from
@@ -108,8 +110,8 @@
   void OnEnds(std::function<void()> callback) {
     ends_told_ = std::move(callback);
   }
-  // Called with its organisation once a request has begun to run at an endpoint;
-  // not for requests without an organisation.
+  // Called with its organisation once a request has begun to run at an
+  // endpoint; not for requests without an organisation.
   void OnRun(std::function<void(const std::string&)> callback) {
     run_began_ = std::move(callback);
   }
@@ -174,6 +176,7 @@
   const EndpointSelector choice_;
   HttpConnections connections_;
   EndpointEnds ends_;
+  ServiceDemand demand_;
   PoisonRequests poison_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
@@ -185,8 +188,8 @@
   std::set<std::string> told_organisations_;  // those with own counters
   std::function<void()> state_gauges_ = [] {};
   std::function<void()> ends_told_ = [] {};
-  std::function<void(const std::string&)> run_began_ =
-      [](const std::string&) {};
+  std::function<void(const std::string&)> run_began_ = [](const std::string&) {
+  };
 };
 
 }  // namespace leverwick
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -213,6 +213,7 @@
   last_tried_ = endpoint.id;
   log_.RecordAttempt();
   relay_->pool_.RecordStart(endpoint.id);
+  relay_->demand_.RecordStart(service_, Clock::now());
   relay_->gates_.RecordSend(endpoint.id, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
@@ -463,6 +464,7 @@
 
 void RelayedRequest::ReleaseEndpoint(bool good, std::optional<RunOutcome> how) {
   relay_->pool_.RecordCompletion(try_->endpoint, good, Clock::now());
+  relay_->demand_.RecordEnd(service_, Clock::now());
   relay_->loads_.RecordFinish(try_->ticket);
   RecentRuns* runs = relay_->ends_.runs();
   if (how) {
--- a/daemon/usage_reporter.cc
+++ b/daemon/usage_reporter.cc
@@ -7,9 +7,9 @@
 
 #include <algorithm>
 
+#include "daemon/peer_post.h"
 #include "leverwick/digest.h"
 #include "leverwick/result.h"
-#include "net/http_call.h"
 #include "net/json.h"
 #include "net/log.h"
 #include "schema/peer.pb.h"
@@ -25,7 +25,6 @@
 // Messages that the holder gets in that time, at most, beside those that close
 // a window. With more boxes the current window is told only when it is over.
 constexpr size_t kMaxEarlyTellers = 100;
-constexpr milliseconds kTellTime{500};
 // After a failed call of the holder, doubled with each further one.
 constexpr milliseconds kMinBackoff{200};
 constexpr int kMaxDoublings = 4;
@@ -99,24 +98,16 @@
     window->set_final(one.is_final);
     window->mutable_counts()->insert(one.counts.begin(), one.counts.end());
   }
-  std::string body = note.SerializeAsString();
-  HttpHead head;
-  head.method = "POST";
-  head.target = kPath;
-  head.Set("Host", address);
-  head.Set("Content-Length", std::to_string(body.size()));
   telling_ = true;
-  auto told = [this, recipient, usage](std::error_code error, int status,
-                                       const std::string&) {
+  auto told = [this, recipient, usage](bool is_received) {
     telling_ = false;
-    bool is_received = !error && status == 200;
     metrics_->Add(
         "leverwick_usage_told_total",
         std::string("outcome=\"") + (is_received ? "ok" : "failed") + "\"", 1);
     if (is_received) RecordReceipts(recipient, usage);
   };
-  HttpCall::Start(loop_, &connections_, address, RequestText(head) + body,
-                  kTellTime, told);
+  PostToBox(loop_, &connections_, address, kPath, note.SerializeAsString(),
+            told);
 }
 
 void UsageReporter::RecordReceipts(const std::string& recipient,
--- a/leverwick/service_config.h
+++ b/leverwick/service_config.h
@@ -77,6 +77,22 @@
   nanoseconds warm_up{0};          // from the endpoint's start
 };
 
+// How many endpoints of a service may be ordered, and at which prices.
+struct EndpointScaling {
+  size_t min_per_data_centre = 1;
+  size_t max_per_data_centre = 1;
+  nanoseconds boot_time{0};  // from an order until a new endpoint serves
+  // Price of an endpoint that the platform may reclaim at any time, as a part
+  // of the regular price; 0: there are none.
+  double reclaimable_price = 0;
+  std::map<std::string, double> price_by_data_centre;  // regular
+
+  double PriceIn(const std::string& data_centre) const {
+    auto price = price_by_data_centre.find(data_centre);
+    return price == price_by_data_centre.end() ? 1 : price->second;
+  }
+};
+
 struct ServiceSpec {
   std::string name;
   std::string health_path;
@@ -86,6 +102,7 @@
   int64_t kv_cache_tokens = 0;  // capacity of an engine's KV cache
   std::optional<SlowStartLimit> slow_start_limit;
   std::vector<ServiceModel> models;
+  std::optional<EndpointScaling> scaling;  // unset: the operator's matter
 };
 
 // The organisation that an API key belongs to.
--- /dev/null
+++ b/leverwick/testing/endpoint_scaler_test.cc
@@ -0,0 +1,172 @@
+#include "leverwick/endpoint_scaler.h"
+
+#include <doctest/doctest.h>
+
+#include "leverwick/service_demand.h"
+#include "leverwick/testing/scaling_simulation.h"
+
+namespace leverwick {
+namespace {
+
+constexpr TimePoint kStart = TimePoint{} + std::chrono::hours(1);
+constexpr size_t kPlaces = 16;
+
+EndpointScaling Scaling(double reclaimable_price) {
+  EndpointScaling scaling;
+  scaling.min_per_data_centre = 1;
+  scaling.max_per_data_centre = 60;
+  scaling.boot_time = std::chrono::seconds(4);
+  scaling.reclaimable_price = reclaimable_price;
+  scaling.price_by_data_centre = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}};
+  return scaling;
+}
+
+// A platform that follows orders at once.
+struct Platform {
+  EndpointScaling scaling;
+  EndpointScaler scaler{"chat"};
+  SupplyByDataCentre supply;
+  std::string empty;  // has no reclaimable endpoints
+  size_t orders = 0;
+
+  // Returns the least that was present meanwhile.
+  size_t Run(TimePoint now, double in_flight) {
+    scaler.RecordDemand(in_flight, now);
+    size_t least = Total();
+    for (int round = 0; round < 20; ++round) {
+      auto due = scaler.DueOrders(scaling, kPlaces, supply, now);
+      if (due.empty()) break;
+      for (const ScaleOrder& order : due) {
+        Follow(order, now);
+        least = std::min(least, Total());
+      }
+    }
+    return least;
+  }
+  void Follow(const ScaleOrder& order, TimePoint now) {
+    ++orders;
+    if (order.reclaimable && order.data_centre == empty) {
+      return scaler.RecordUnavailable(order, now);
+    }
+    EndpointSupply& there = supply[order.data_centre];
+    (order.reclaimable ? there.reclaimable : there.regular) = order.desired;
+    CHECK(there.total() <= scaling.max_per_data_centre);
+    CHECK(there.total() >= scaling.min_per_data_centre);
+    scaler.RecordAccepted(order, now);
+  }
+  size_t Total() const {
+    size_t total = 0;
+    for (const auto& [name, there] : supply) total += there.total();
+    return total;
+  }
+};
+
+Platform Start(double reclaimable_price) {
+  Platform platform;
+  platform.scaling = Scaling(reclaimable_price);
+  platform.supply = {{"a", {30, 0}}, {"b", {30, 0}}, {"c", {30, 0}}};
+  return platform;
+}
+
+TEST_CASE("cheaper endpoints take the place of regular ones, none is lacking") {
+  Platform platform = Start(0.22);
+  CHECK(platform.Run(kStart, 300) >= 90);
+  for (const auto& [name, there] : platform.supply) {
+    CHECK(there.regular <= 2);
+    CHECK(there.reclaimable >= 29);
+  }
+  size_t orders = platform.orders;
+  platform.Run(kStart + std::chrono::seconds(1), 310);
+  CHECK(platform.orders == orders);  // nothing has changed
+}
+
+TEST_CASE("what a data centre doesn't have is ordered in the others") {
+  Platform platform = Start(0.22);
+  platform.Run(kStart, 300);
+  platform.empty = "b";
+  platform.supply["b"] = {platform.supply["b"].regular, 0};
+  platform.Run(kStart + std::chrono::seconds(1), 300);
+  CHECK(platform.Total() >= 90);
+  CHECK(platform.supply["b"].reclaimable == 0);
+  CHECK(platform.supply["a"].reclaimable >= 40);
+  // It is asked again, but not at once.
+  size_t orders = platform.orders;
+  platform.Run(kStart + std::chrono::seconds(2), 300);
+  CHECK(platform.orders == orders);
+  platform.empty = "";
+  platform.Run(kStart + std::chrono::seconds(5), 300);
+  CHECK(platform.supply["b"].reclaimable >= 29);
+}
+
+TEST_CASE("without cheaper endpoints regular ones follow the demand") {
+  Platform platform = Start(0);
+  platform.Run(kStart, 100);
+  CHECK(platform.Total() == 90);  // the demand is not known yet
+  for (int second = 1; second <= 40; ++second) {
+    platform.Run(kStart + std::chrono::seconds(second), 100);
+  }
+  // 100 requests in flight take four tenths of 16 endpoints' places.
+  CHECK(platform.Total() == 16);
+  // The dearest data centre lost most.
+  CHECK(platform.supply["c"].total() <= platform.supply["b"].total());
+  platform.Run(kStart + std::chrono::seconds(41), 400);
+  CHECK(platform.Total() == 63);
+  // A dip is waited out.
+  platform.Run(kStart + std::chrono::seconds(50), 50);
+  CHECK(platform.Total() == 63);
+}
+
+TEST_CASE("an order that is not followed is repeated") {
+  EndpointScaler scaler("chat");
+  EndpointScaling scaling = Scaling(0);
+  SupplyByDataCentre supply = {{"a", {2, 0}}};
+  scaler.RecordDemand(64, kStart);
+  auto due = scaler.DueOrders(scaling, kPlaces, supply, kStart);
+  REQUIRE(due.size() == 1);
+  CHECK(due[0].desired == 10);
+  scaler.RecordAccepted(due[0], kStart);
+  TimePoint later = kStart + 3 * scaling.boot_time;
+  CHECK(scaler.DueOrders(scaling, kPlaces, supply, later).empty());
+  later += scaling.boot_time;
+  CHECK(scaler.DueOrders(scaling, kPlaces, supply, later).size() == 1);
+}
+
+TEST_CASE("demand is the mean number of requests in flight") {
+  ServiceDemand demand(kStart);
+  demand.RecordStart("chat", kStart + milliseconds(250));
+  demand.RecordStart("chat", kStart + milliseconds(500));
+  demand.RecordEnd("chat", kStart + milliseconds(750));
+  CHECK(demand.TakeMeans(kStart + milliseconds(1000)).at("chat") ==
+        doctest::Approx(1.0));
+  // One is still in flight.
+  CHECK(demand.TakeMeans(kStart + milliseconds(1500)).at("chat") ==
+        doctest::Approx(1.0));
+}
+
+// The load: a wave with bursts, whose endpoints boot in seven seconds, with and
+// without the sudden loss of a third of them.
+TEST_CASE("of three rules, target utilisation serves most under bursts") {
+  for (bool reclaims : {false, true}) {
+    ScalingScenario scenario;
+    scenario.reclaims = reclaims;
+    TargetUtilisationRule target(0.4, std::chrono::seconds(30));
+    QueueLengthRule queue;
+    PredictiveRule predictive(0.4, scenario.boot_time);
+    ScalingSimulation simulation(scenario);
+    ScalingResult by_target = simulation.Run(&target);
+    ScalingResult by_queue = simulation.Run(&queue);
+    ScalingResult by_trend = simulation.Run(&predictive);
+    CAPTURE(by_target.served);
+    CAPTURE(by_queue.served);
+    CAPTURE(by_trend.served);
+    CAPTURE(by_target.endpoint_seconds);
+    CAPTURE(by_queue.endpoint_seconds);
+    CAPTURE(by_trend.endpoint_seconds);
+    CHECK(by_target.served > 0.99);
+    CHECK(by_target.served >= by_queue.served);
+    CHECK(by_target.served >= by_trend.served);
+  }
+}
+
+}  // namespace
+}  // namespace leverwick
