--- a/daemon/log_boxes.cc
+++ b/daemon/log_boxes.cc
@@ -1,6 +1,6 @@
 // The list is read before anything else, so that a box which starts among
-// others reads all the rest from one of them. When the whole system starts,
-// each box enters itself first and reads after a pause.
+// others reads all the rest from one of them. What is done when follows from
+// FleetStart.
 
 #include "daemon/log_boxes.h"
 
@@ -14,10 +14,8 @@
 
 const Log kLog("boxes");
 
-// All boxes of a site start within a third of a second.
-constexpr milliseconds kFirstRead{700};
 // A new box is asked by others this late; until then it reads for itself.
-constexpr milliseconds kInterval{10000};
+constexpr milliseconds kInterval = FleetStart::kInterval;
 // The list may be old: who is not there any more is passed over.
 constexpr milliseconds kMostAge{30000};
 // Within which all boxes have read an entry: the oldest list that is taken from
@@ -47,27 +45,41 @@
       own_entry_(EntryOf(self_, data_centre_)),
       follower_(loop, log, {topic_, milliseconds(0), kInterval, kMostAge},
                 this),
-      start_(*loop) {}
+      start_(*loop),
+      fleet_start_(false, Clock::now()),
+      random_(std::random_device{}()) {}
 
 void LogBoxes::Start(bool first_start, std::function<void()> ready) {
   ready_ = std::move(ready);
-  if (!first_start) return follower_.Start();
-  EnterSelf();
-  start_.expires_after(kFirstRead);
+  TimePoint now = Clock::now();
+  fleet_start_ = FleetStart(first_start, now);
+  EnterSelf(now);
+  start_.expires_at(fleet_start_.first_read_at());
   start_.async_wait([this](auto error) {
     if (!error) follower_.Start();
   });
 }
 
-void LogBoxes::BeReady() {
-  if (!ready_) return;
+void LogBoxes::CheckSettled(TimePoint now) {
+  if (!ready_ || !fleet_start_.IsSettled(now)) return;
   auto ready = std::move(ready_);
   ready_ = nullptr;
+  kLog.Info("The list of boxes is complete.",
+            {{"boxes", std::to_string(fleet_.size() + 1)},
+             {"listed", entered_ ? "yes" : "no"}});
   ready();
 }
 
+std::optional<milliseconds> LogBoxes::PauseAfterFailure() {
+  double draw = std::uniform_real_distribution<>(0, 1)(random_);
+  return std::chrono::duration_cast<milliseconds>(
+      fleet_start_.PauseAfterFailedRead(draw));
+}
+
 void LogBoxes::Tick(TimePoint now) {
-  if (writing_) return;
+  EnterSelf(now);
+  CheckSettled(now);
+  if (dropping_) return;
   auto patience = kDropAfter + std::chrono::duration_cast<nanoseconds>(
                                    kDropAfter / 2 * UnitHash(self_.name));
   for (const std::string& name : log_->LostFor(patience, now)) {
@@ -95,8 +107,11 @@
   for (const auto& box : boxes_) boxes.push_back(box.second);
   log_->SetBoxes(boxes);
   TellFleet();
-  if (!entered_) EnterSelf();
-  BeReady();
+  TimePoint now = Clock::now();
+  fleet_start_.RecordList(fleet_.size() + 1, entered_, now);
+  CheckSettled(now);
+  follower_.SetInterval(
+      std::chrono::duration_cast<milliseconds>(fleet_start_.ReadInterval(now)));
 }
 
 void LogBoxes::TellFleet() {
@@ -123,11 +138,11 @@
   boxes_[record.key] = {record.key, entry.address(), entry.capacity()};
 }
 
-void LogBoxes::EnterSelf() {
-  if (writing_) return;
-  writing_ = true;
+void LogBoxes::EnterSelf(TimePoint now) {
+  if (!fleet_start_.TakeAppend(now)) return;
   log_->Append(topic_, own_entry_, std::nullopt, [this](std::error_code error) {
-    writing_ = false;
+    double draw = std::uniform_real_distribution<>(0, 1)(random_);
+    fleet_start_.RecordAppend(!error, draw, Clock::now());
     if (!error) return;
     kLog.Warning("This box's entry was not written.",
                  {{"why", error.message()}});
@@ -138,10 +153,10 @@
   kLog.Warning("A box has not answered for long; its entry is dropped.",
                {{"box", name}});
   boxes_.erase(name);
-  writing_ = true;
+  dropping_ = true;
   log_->Append(topic_, {name, std::nullopt}, std::nullopt,
                [this, name](std::error_code error) {
-                 writing_ = false;
+                 dropping_ = false;
                  if (!error) return;
                  kLog.Warning("An entry was not dropped.",
                               {{"box", name}, {"why", error.message()}});
--- a/daemon/log_boxes.h
+++ b/daemon/log_boxes.h
@@ -15,12 +15,15 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <optional>
+#include <random>
 #include <string>
 #include <system_error>
 #include <vector>
 
 #include "daemon/shared_log.h"
 #include "daemon/topic_follower.h"
+#include "leverwick/fleet_start.h"
 #include "leverwick/read_sources.h"
 
 namespace leverwick {
@@ -36,8 +39,9 @@
   LogBoxes(boost::asio::io_context* loop, SharedLog* log, const LogBox& self,
            std::string data_centre, std::string topic);
 
-  // `ready` is called once, when the other boxes are known or the store does
-  // not answer. On the system's first start boxes are given time to enter.
+  // `ready` is called once, when the list is complete as far as can be told
+  // (leverwick/fleet_start.h). `first_start`: all boxes start now for the first
+  // time.
   void Start(bool first_start, std::function<void()> ready);
   // Drops entries of boxes that are gone; called a few times a second.
   void Tick(TimePoint now);
@@ -60,12 +64,15 @@
   void OnRecord(const KeyedRecord& record) override;
   void OnRead(TimePoint as_of) override;
   // The last list stays.
-  void OnReadFailed(std::error_code) override { BeReady(); }
+  void OnReadFailed(std::error_code) override {}
+  std::optional<milliseconds> PauseAfterFailure() override;
 
   void Learn(const KeyedRecord& record);
   void TellFleet();
-  void BeReady();
-  void EnterSelf();
+  // Tells that the list is complete, once it is.
+  void CheckSettled(TimePoint now);
+  // Writes the own entry if that is due.
+  void EnterSelf(TimePoint now);
   void Drop(const std::string& name);
 
   SharedLog* const log_;
@@ -79,9 +86,11 @@
   std::map<std::string, LogBox> boxes_;    // of this data centre, by name
   std::map<std::string, FleetBox> fleet_;  // all but this one, by name
   std::function<void(const std::vector<FleetBox>&)> on_fleet_;
+  FleetStart fleet_start_;
   bool entered_ = false;  // the topic holds the own entry
   TimePoint known_since_ = TimePoint::max();
-  bool writing_ = false;
+  bool dropping_ = false;
+  std::mt19937 random_;
 };
 
 }  // namespace leverwick
--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -7,11 +7,18 @@
 #include <algorithm>
 #include <vector>
 
+#include "net/deflate.h"
+
 namespace leverwick {
 namespace {
 
 // An ask that is held beyond this is the asker's fault: it is answered as is.
 constexpr milliseconds kLongestHold{30000};
+// Records from which on a whole topic is deflated: some 30 KB.
+constexpr size_t kLongPage = 100;
+// A small box has 160 MB in all.
+constexpr size_t kMaxBytesOnTheWay = 16UL << 20;
+constexpr milliseconds kLookAgain{20};
 
 int64_t MicrosecondsAfter(TimePoint start, TimePoint moment) {
   return std::chrono::floor<std::chrono::microseconds>(moment - start).count();
@@ -28,16 +35,8 @@
   exchange->Answer(std::move(head), "");
 }
 
-LogAnswer AnswerOf(const LogCache& cache, uint64_t from, TimePoint received) {
+LogAnswer RecordsOf(LogPage page) {
   LogAnswer answer;
-  LogPage page;
-  if (!cache.ReadFrom(from, &page)) {
-    answer.set_kind(LogAnswer::EXPIRED);
-    return answer;
-  }
-  answer.set_kind(LogAnswer::PAGE);
-  answer.set_end(page.end);
-  answer.set_as_of_us(MicrosecondsAfter(received, page.as_of));
   for (KeyedRecord& record : page.records) {
     LogRecord* sent = answer.add_records();
     sent->set_key(std::move(record.key));
@@ -51,7 +50,8 @@
 
 LogServer::LogServer(boost::asio::io_context* loop)
     : loop_(loop),
-      server_(loop, [this](const auto& exchange) { Handle(exchange); }) {}
+      server_(loop, [this](const auto& exchange) { Handle(exchange); }),
+      send_(*loop) {}
 
 void LogServer::Share(const std::string& topic, LogCache* cache) {
   caches_[topic] = cache;
@@ -77,7 +77,7 @@
   bool hold = cache != caches_.end() && ask.wait_ms() > 0 &&
               !HasNews(*cache->second, ask);
   if (hold) return Hold(exchange, ask);
-  Answer(exchange.get(), ask);
+  Answer(exchange, ask);
 }
 
 void LogServer::Hold(const std::shared_ptr<ServerExchange>& exchange,
@@ -98,18 +98,79 @@
 void LogServer::AnswerHeld(HeldAsk* held) {
   held->answered = true;
   held->timer.cancel();
-  Answer(held->exchange.get(), held->ask);
+  Answer(held->exchange, held->ask);
 }
 
-void LogServer::Answer(ServerExchange* exchange, const LogAsk& ask) {
+void LogServer::Answer(const std::shared_ptr<ServerExchange>& exchange,
+                       const LogAsk& ask) {
   LogAnswer answer;
   auto cache = caches_.find(ask.topic());
-  if (cache != caches_.end() && cache->second->has_snapshot()) {
-    answer = AnswerOf(*cache->second, ask.from(), exchange->received());
+  bool is_known = cache != caches_.end() && cache->second->has_snapshot();
+  if (is_known && ask.from() == 0 && BytesOnTheWay() >= kMaxBytesOnTheWay) {
+    waiting_.emplace_back(exchange, ask);
+    if (waiting_.size() == 1) SendWaiting();
+    return;
   }
+  if (is_known) answer = AnswerOf(*cache->second, ask, exchange->received());
   HttpHead head;
   head.status = 200;
   exchange->Answer(std::move(head), answer.SerializeAsString());
+  if (!answer.deflated_records().empty()) on_the_way_.push_back(exchange);
+}
+
+LogAnswer LogServer::AnswerOf(const LogCache& cache, const LogAsk& ask,
+                              TimePoint received) {
+  LogAnswer answer;
+  LogPage page;
+  if (!cache.ReadFrom(ask.from(), &page)) {
+    answer.set_kind(LogAnswer::EXPIRED);
+    return answer;
+  }
+  uint64_t end = page.end;
+  TimePoint as_of = page.as_of;
+  bool is_long = ask.from() == 0 && page.records.size() >= kLongPage;
+  if (is_long) {
+    auto known = snapshots_.find(ask.topic());
+    bool is_new =
+        known == snapshots_.end() || known->second.revision != cache.revision();
+    if (is_new) {
+      std::string records = RecordsOf(std::move(page)).SerializeAsString();
+      snapshots_[ask.topic()] = {cache.revision(), Deflate(records),
+                                 records.size()};
+    }
+    const Snapshot& snapshot = snapshots_[ask.topic()];
+    answer.set_deflated_records(snapshot.deflated);
+    answer.set_inflated_size(snapshot.inflated_size);
+  } else {
+    answer = RecordsOf(std::move(page));
+  }
+  answer.set_kind(LogAnswer::PAGE);
+  answer.set_end(end);
+  answer.set_as_of_us(MicrosecondsAfter(received, as_of));
+  return answer;
+}
+
+size_t LogServer::BytesOnTheWay() {
+  size_t bytes = 0;
+  for (auto it = on_the_way_.begin(); it != on_the_way_.end();) {
+    size_t pending = (*it)->pending_bytes();
+    bytes += pending;
+    it = pending == 0 ? on_the_way_.erase(it) : std::next(it);
+  }
+  return bytes;
+}
+
+void LogServer::SendWaiting() {
+  while (!waiting_.empty() && BytesOnTheWay() < kMaxBytesOnTheWay) {
+    auto [exchange, ask] = std::move(waiting_.front());
+    waiting_.pop_front();
+    Answer(exchange, ask);
+  }
+  if (waiting_.empty()) return;
+  send_.expires_after(kLookAgain);
+  send_.async_wait([this](auto error) {
+    if (!error) SendWaiting();
+  });
 }
 
 void LogServer::Changed(const std::string& topic) {
--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -4,6 +4,9 @@
 // offset. Otherwise it is held until this box has read the topic again, which
 // is news too: it proves that nothing has changed up to then.
 //
+// A whole topic is long. It is deflated once for all that ask for it, and only
+// so many answers are on their way at a time that they fit into memory.
+//
 //   LogServer server(&loop);
 //   server.Share("boxes", follower.cache());
 //   std::error_code error = server.Listen(address);
@@ -14,12 +17,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <string>
 #include <system_error>
+#include <utility>
 
 #include "leverwick/log_cache.h"
 #include "net/async_http_server.h"
@@ -50,9 +55,22 @@
     bool answered = false;
   };
 
+  // All records of a topic, as they are sent.
+  struct Snapshot {
+    uint64_t revision = 0;  // of the cache
+    std::string deflated;
+    uint64_t inflated_size = 0;
+  };
+
   void Handle(const std::shared_ptr<ServerExchange>& exchange);
   void Hold(const std::shared_ptr<ServerExchange>& exchange, const LogAsk& ask);
-  void Answer(ServerExchange* exchange, const LogAsk& ask);
+  void Answer(const std::shared_ptr<ServerExchange>& exchange,
+              const LogAsk& ask);
+  LogAnswer AnswerOf(const LogCache& cache, const LogAsk& ask,
+                     TimePoint received);
+  // Sends what waits, as far as it fits.
+  void SendWaiting();
+  size_t BytesOnTheWay();
   void AnswerHeld(HeldAsk* held);
   void Changed(const std::string& topic);
 
@@ -61,6 +79,10 @@
   std::map<std::string, LogCache*> caches_;  // by topic
   std::map<std::string, std::function<bool(const std::string&)>> receivers_;
   std::list<std::shared_ptr<HeldAsk>> held_;
+  std::map<std::string, Snapshot> snapshots_;              // by topic
+  std::list<std::shared_ptr<ServerExchange>> on_the_way_;  // long answers
+  std::deque<std::pair<std::shared_ptr<ServerExchange>, LogAsk>> waiting_;
+  boost::asio::steady_timer send_;
 };
 
 }  // namespace leverwick
--- a/daemon/permit_exchange.cc
+++ b/daemon/permit_exchange.cc
@@ -69,7 +69,10 @@
 
 void PermitExchange::Start() {
   watch_->permits()->SetTransport(this);
-  watch_->OnNews([this](const LimitNews& news) { Tell(news); });
+  watch_->OnNews([this](const LimitNews& news) {
+    Tell(news);
+    Introduce();
+  });
   datagrams_->AddListener(this);
 }
 
@@ -97,6 +100,11 @@
 }
 
 void PermitExchange::UseBoxes() {
+  bool is_known = used_digest_ == agreement_.digest() &&
+                  used_active_from_ == agreement_.active_from();
+  if (is_known) return;
+  used_digest_ = agreement_.digest();
+  used_active_from_ = agreement_.active_from();
   watch_->permits()->SetOtherBoxes(agreement_.others());
   watch_->permits()->AllowGrantsFrom(agreement_.active_from());
 }
@@ -104,8 +112,13 @@
 // A box that is new in the list would otherwise have to wait until all others
 // have surely read of it, and a fleet of new boxes would use no limited
 // endpoint for as long.
+//
+// Nothing is told while no endpoint names a limit, since each box tells each
+// other one.
 void PermitExchange::Introduce() {
+  if (introducing_ || !watch_->limits().any()) return;
   if (!agreement_.NeedsProbes(Clock::now())) return;
+  introducing_ = true;
   for (const std::string& name : agreement_.BoxesToProbe()) {
     auto found = boxes_.find(name);
     if (found == boxes_.end()) continue;
@@ -115,6 +128,7 @@
   UseBoxes();
   introduction_.expires_after(kIntroduceAgain);
   introduction_.async_wait([this](auto error) {
+    introducing_ = false;
     if (!error) Introduce();
   });
 }
@@ -230,6 +244,7 @@
   for (const LimitNote& note : notes.limits()) {
     watch_->Heard(NewsOf(note, now), now);
   }
+  if (!notes.limits().empty()) Introduce();
   PeerNotes reply;
   for (const PermitAskNote& note : notes.asks()) {
     LimitNews news = NewsOf(note.limit(), now);
--- a/daemon/permit_exchange.h
+++ b/daemon/permit_exchange.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,10 @@
   const BoxLocation self_;
   FleetAgreement agreement_;
   boost::asio::steady_timer introduction_;
+  bool introducing_ = false;  // a round is under way
+  // Of the agreement, when its boxes were last used.
+  std::optional<uint64_t> used_digest_;
+  TimePoint used_active_from_{};
   boost::asio::steady_timer timer_;
   bool watching_ = false;                                // the timer runs
   std::map<std::string, PeerDatagrams::Address> boxes_;  // by name
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -9,7 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
+#include "leverwick/digest.h"
 #include "leverwick/result.h"
+#include "net/deflate.h"
 #include "net/http_call.h"
 #include "net/log.h"
 
@@ -30,6 +32,20 @@
 // Opening a connection is part of that.
 constexpr milliseconds kConnectTime{200};
 
+// Many boxes wait for longer for the one that reads a topic for all of them,
+// since they are told one after the other and would burden the store otherwise.
+constexpr milliseconds kSnapshotTimePerBox{10};
+constexpr milliseconds kLongestSnapshotTime{5000};
+// Boxes that turn to the store at once when no other box answers them. More of
+// them follow one after the other.
+constexpr double kFallbacksAtOnce = 12;
+constexpr milliseconds kFallbackStep{100};
+// For each so many boxes of the data centre, the pause after a failed call of
+// such a box is as long again.
+constexpr size_t kBoxesPerPause = 50;
+// Of what another box passes on in one answer.
+constexpr uint64_t kMaxInflated = 256UL << 20;
+
 // Boxes that are asked within one read: the reader and whoever stands in for
 // it. What both don't have, the store has, or it is away.
 constexpr int kMostAsks = 2;
@@ -50,6 +66,19 @@
   return error && error != Result::kExpired;
 }
 
+// False when the records can't be read.
+bool InflateRecords(LogAnswer* answer) {
+  if (answer->deflated_records().empty()) return true;
+  if (answer->inflated_size() > kMaxInflated) return false;
+  std::string text;
+  LogAnswer records;
+  bool is_readable =
+      Inflate(answer->deflated_records(), answer->inflated_size(), &text) &&
+      records.ParseFromString(text);
+  answer->mutable_records()->Swap(records.mutable_records());
+  return is_readable;
+}
+
 TimePoint MomentAfter(TimePoint start, int64_t microseconds) {
   return start + std::chrono::microseconds(microseconds);
 }
@@ -119,9 +148,28 @@
   Ask(*box, query, ask, answered);
 }
 
+bool SharedLog::MayReadStore(TopicState* state) {
+  if (state->sources.is_reader()) return true;
+  TimePoint now = Clock::now();
+  if (!state->falls_back) {
+    state->falls_back = true;
+    double place = UnitHash(self_.name) * static_cast<double>(boxes_.size());
+    double steps = std::max(0.0, place - kFallbacksAtOnce);
+    auto turn = now + FromSeconds(ToSeconds(kFallbackStep) * steps);
+    state->store_from = std::max(state->store_from, turn);
+  }
+  return now >= state->store_from;
+}
+
+milliseconds SharedLog::SnapshotTime() const {
+  auto count = static_cast<int64_t>(boxes_.size());
+  return std::min(kSnapshotTime + kSnapshotTimePerBox * count,
+                  kLongestSnapshotTime);
+}
+
 void SharedLog::ReadStore(const LogQuery& query, ReadCallback callback) {
   TopicState* state = StateOf(query.topic);
-  if (!state->sources.is_reader() && Clock::now() < state->store_from) {
+  if (!MayReadStore(state)) {
     boost::asio::post(*loop_,
                       [callback] { callback(Result::kUnreachable, {}); });
     return state->sources.ClearStale();
@@ -140,20 +188,38 @@
   if (error == Result::kNoConnection) return;
   std::uniform_int_distribution<int> pause(kLeastStorePauseMs,
                                            kMostStorePauseMs);
-  state->store_from = Clock::now() + milliseconds(pause(random_));
+  auto factor = static_cast<int>(1 + boxes_.size() / kBoxesPerPause);
+  state->store_from = Clock::now() + factor * milliseconds(pause(random_));
 }
 
 void SharedLog::ReadNewest(const LogQuery& query, const std::string& after_key,
                            NewestCallback callback) {
+  ReadNewestFrom(query, after_key, kMostAsks, std::move(callback));
+}
+
+void SharedLog::ReadNewestFrom(const LogQuery& query,
+                               const std::string& after_key, int boxes,
+                               NewestCallback callback) {
+  TopicState* state = StateOf(query.topic);
   bool is_shared = query.max_age.count() > 0 && after_key.empty();
-  auto box = StateOf(query.topic)->sources.ChooseSource(Clock::now());
-  if (!box || !is_shared) return store_->ReadNewest(query, after_key, callback);
+  auto box = state->sources.ChooseSource(Clock::now());
+  if (!is_shared) return store_->ReadNewest(query, after_key, callback);
+  if (!box || boxes == 0) {
+    if (MayReadStore(state)) {
+      return store_->ReadNewest(query, after_key, callback);
+    }
+    boost::asio::post(*loop_,
+                      [callback] { callback(Result::kUnreachable, {}); });
+    return state->sources.ClearStale();
+  }
   LogAsk ask;
   ask.set_snapshot(true);
-  ask.set_wait_ms(static_cast<uint32_t>(kSnapshotTime.count()));
-  auto answered = [this, query, after_key, callback](std::error_code error,
-                                                     LogPage page) {
-    if (IsForAnother(error)) return ReadNewest(query, after_key, callback);
+  ask.set_wait_ms(static_cast<uint32_t>(SnapshotTime().count()));
+  auto answered = [this, query, after_key, boxes, callback](
+                      std::error_code error, LogPage page) {
+    if (IsForAnother(error)) {
+      return ReadNewestFrom(query, after_key, boxes - 1, callback);
+    }
     TopicState* state = StateOf(query.topic);
     if (!error) state->as_of = std::max(state->as_of, page.as_of);
     callback(error, {std::move(page.records), false, page.end, page.as_of});
@@ -168,6 +234,13 @@
                   std::chrono::duration_cast<milliseconds>(until_old));
 }
 
+milliseconds SharedLog::AnswerTimeOf(const LogAsk& ask) const {
+  milliseconds held(ask.wait_ms());
+  // A snapshot is longer on its way than other answers.
+  if (!ask.snapshot()) return held + kAnswerTime;
+  return held + kAnswerTime + SnapshotTime() - kSnapshotTime;
+}
+
 void SharedLog::Ask(const LogBox& box, const LogQuery& query, LogAsk ask,
                     ReadCallback callback) {
   ask.set_topic(query.topic);
@@ -187,7 +260,7 @@
     callback(error, std::move(page));
   };
   HttpCall::Start(loop_, &connections_, box.address, RequestText(head) + body,
-                  milliseconds(ask.wait_ms()) + kAnswerTime, answered);
+                  AnswerTimeOf(ask), answered);
 }
 
 void SharedLog::AskAgain(const LogBox& box, const LogQuery& query,
@@ -204,6 +277,7 @@
                                   LogPage* page) const {
   LogAnswer answer;
   if (!answer.ParseFromString(body)) return Result::kBadResponse;
+  if (!InflateRecords(&answer)) return Result::kBadResponse;
   if (answer.kind() == LogAnswer::EXPIRED) return Result::kExpired;
   if (answer.kind() != LogAnswer::PAGE) return Result::kNotReady;
   page->end = answer.end();
@@ -228,6 +302,7 @@
                 std::string("outcome=\"") + (error ? "failed" : "ok") + "\"",
                 1);
   if (!IsForAnother(error)) {
+    state->falls_back = false;
     return state->sources.RecordReply(box.name);
   }
   kLog.Info(
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -60,12 +60,22 @@
     TimePoint as_of{};  // of the newest answer
     // No call to the store before this, unless this box is a reader.
     TimePoint store_from{};
+    // Boxes that read for this one did not answer; its turn at the store is
+    // set.
+    bool falls_back = false;
   };
 
   TopicState* StateOf(const std::string& topic);
   // Asks at most so many boxes before the store.
   void ReadFrom(const LogQuery& query, int boxes, ReadCallback callback);
+  void ReadNewestFrom(const LogQuery& query, const std::string& after_key,
+                      int boxes, NewestCallback callback);
   void ReadStore(const LogQuery& query, ReadCallback callback);
+  // Whether this box's turn at the store has come.
+  bool MayReadStore(TopicState* state);
+  // How long another box may take until it has all records of a topic.
+  milliseconds SnapshotTime() const;
+  milliseconds AnswerTimeOf(const LogAsk& ask) const;
   void StoreFailed(TopicState* state, std::error_code error);
   // How long a box may hold its answer: until what is known here is too old.
   milliseconds HoldOf(const LogQuery& query);
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -111,7 +111,9 @@
   if (error) return OnError(error);
   failures_ = 0;
   next_ = page.next;
-  for (const KeyedRecord& record : page.records) listener_->OnRecord(record);
+  for (const KeyedRecord& record : page.records) {
+    if (!cache_.IsRenewal(record)) listener_->OnRecord(record);
+  }
   // A read that came with less than there is proves nothing yet.
   if (next_ >= page.end) listener_->OnRead(page.as_of);
   cache_.ApplyPage(page);
@@ -137,6 +139,7 @@
 }
 
 milliseconds TopicFollower::PauseAfterError(std::error_code error) {
+  if (auto pause = listener_->PauseAfterFailure()) return *pause;
   if (error == Result::kNoConnection) {
     std::uniform_int_distribution<int> pause(kLeastCutOffPauseMs,
                                              kMostCutOffPauseMs);
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -11,6 +11,7 @@
 #define DAEMON_TOPIC_FOLLOWER_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -41,6 +42,10 @@
     // All is applied that was written up to the moment `as_of`.
     virtual void OnRead(TimePoint as_of) = 0;
     virtual void OnReadFailed(std::error_code error) = 0;
+    // How long to wait after a failed read; nothing: as usual.
+    virtual std::optional<milliseconds> PauseAfterFailure() {
+      return std::nullopt;
+    }
   };
 
   TopicFollower(boost::asio::io_context* loop, KeyedLog* log,
@@ -48,6 +53,8 @@
 
   void Start();
   void Stop();
+  // Changes the pause between two reads of the store.
+  void SetInterval(milliseconds interval) { options_.interval = interval; }
   bool running() const { return running_; }
 
   // Where the log ended at the newest read.
@@ -71,7 +78,7 @@
   void After(milliseconds pause);
 
   KeyedLog* const log_;
-  const FollowerOptions options_;
+  FollowerOptions options_;
   Listener* const listener_;
   boost::asio::steady_timer timer_;
   std::mt19937 random_;
--- a/leverwick/log_cache.cc
+++ b/leverwick/log_cache.cc
@@ -21,6 +21,7 @@
   records_.clear();
   offsets_.clear();
   tombstones_.clear();
+  ++revision_;
   uint64_t offset = end - std::min<uint64_t>(end, records.size());
   for (const KeyedRecord& record : records) StoreRecord(offset++, record);
   complete_from_ = end;  // earlier tombstones may be missing
@@ -32,14 +33,25 @@
 
 void LogCache::ApplyPage(const LogPage& page) {
   uint64_t offset = page.next - page.records.size();
-  for (const KeyedRecord& record : page.records) StoreRecord(offset++, record);
+  for (const KeyedRecord& record : page.records) {
+    if (!IsRenewal(record)) StoreRecord(offset, record);
+    ++offset;
+  }
   end_ = std::max(end_, page.next);
   if (page.next >= page.end) as_of_ = std::max(as_of_, page.as_of);
   EvictOldTombstones();
   change_callback_();
 }
 
+bool LogCache::IsRenewal(const KeyedRecord& record) const {
+  auto found = offsets_.find(record.key);
+  if (found == offsets_.end() || !record.value) return false;
+  const KeyedRecord& before = records_.at(found->second);
+  return before.value && is_renewal_(*before.value, *record.value);
+}
+
 void LogCache::StoreRecord(uint64_t offset, const KeyedRecord& record) {
+  ++revision_;
   auto found = offsets_.find(record.key);
   if (found != offsets_.end()) {
     records_.erase(found->second);
--- a/leverwick/log_cache.h
+++ b/leverwick/log_cache.h
@@ -39,8 +39,18 @@
     change_callback_ = std::move(callback);
   }
 
+  // Sets a test for records that only renew what the key's record before says.
+  // They are not passed on.
+  using RenewalTest =
+      std::function<bool(const std::string& before, const std::string& after)>;
+  void SetRenewalTest(RenewalTest test) { is_renewal_ = std::move(test); }
+  // Returns whether the record only renews the newest one of its key.
+  bool IsRenewal(const KeyedRecord& record) const;
+
   bool has_snapshot() const { return has_snapshot_; }
   uint64_t end() const { return end_; }
+  // Counts the changes of the records.
+  uint64_t revision() const { return revision_; }
   // Returns a time at which the log had not grown beyond `end`.
   TimePoint as_of() const { return as_of_; }
 
@@ -61,7 +71,9 @@
   uint64_t end_ = 0;
   TimePoint as_of_{};
   bool has_snapshot_ = false;
+  uint64_t revision_ = 0;
   std::function<void()> change_callback_ = [] {};
+  RenewalTest is_renewal_ = [](const auto&, const auto&) { return false; };
 };
 
 }  // namespace leverwick
