EndpointScaler: cold endpoints count as present; a roll-out only adds

Cause: at the start all endpoints are cold and were left out, so 20 of 90 were taken for what had been there; and no order was made during a roll-out. Change: cold ones count, but let no other be given up; orders that raise a number are made during a roll-out.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -219,8 +219,8 @@
     const DirectoryEntry& entry = known.entry;
     if (entry.service != service) continue;
     EndpointSupply& there = supply[entry.data_centre];
-    bool accepts = !entry.leaving && !known.gone && known.cold_until <= now;
-    if (!accepts) continue;
+    if (entry.leaving || known.gone) continue;
+    if (known.cold_until > now) ++there.cold;
     ++(entry.reclaimable ? there.reclaimable : there.regular);
   }
   return supply;
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -103,7 +103,7 @@
   // False for a version without endpoints.
   bool IsWarm(const std::string& service, const std::string& version,
               TimePoint when) const;
-  // Endpoints of a service that accept requests, by data centre.
+  // Endpoints of a service that are not leaving, by data centre.
   SupplyByDataCentre SupplyOf(const std::string& service, TimePoint now) const;
   size_t size() const { return entries_.size(); }
 
--- a/daemon/scale_controller.cc
+++ b/daemon/scale_controller.cc
@@ -124,14 +124,12 @@
   std::vector<ScaleOrder> all;
   for (const auto& [name, service] : relay_->config()->services()) {
     if (!service.scaling) continue;
-    // Endpoints of two versions are present, each counted by the platform.
-    if (relay_->rollouts()->IsActive(name)) continue;
     SupplyByDataCentre supply = relay_->directory()->SupplyOf(name, now);
     if (supply.empty()) continue;
     auto scaler = scalers_.try_emplace(name, name).first;
     std::vector<ScaleOrder> due = scaler->second.DueOrders(
         *service.scaling, std::max<size_t>(1, service.max_batch_size), supply,
-        now);
+        relay_->rollouts()->IsActive(name), now);
     all.insert(all.end(), due.begin(), due.end());
   }
   return all;
--- a/leverwick/endpoint_scaler.cc
+++ b/leverwick/endpoint_scaler.cc
@@ -27,6 +27,12 @@
   return total;
 }
 
+size_t Cold(const SupplyByDataCentre& supply) {
+  size_t cold = 0;
+  for (const auto& [data_centre, present] : supply) cold += present.cold;
+  return cold;
+}
+
 size_t Sum(const std::map<std::string, size_t>& counts) {
   size_t sum = 0;
   for (const auto& [data_centre, count] : counts) sum += count;
@@ -69,13 +75,11 @@
 
 size_t EndpointScaler::Needed(size_t places, const SupplyByDataCentre& supply,
                               TimePoint now) {
-  if (!first_seen_) {
-    first_seen_ = now;
-    first_total_ = Total(supply);
-  }
+  if (!first_seen_) first_seen_ = now;
   auto needed = static_cast<size_t>(std::ceil(rule_.Needed(places, now)));
   // What was there before is kept until the demand has been seen for a while.
   bool is_new = now - *first_seen_ < kPeakMemory;
+  if (accepted_.empty()) first_total_ = std::max(first_total_, Total(supply));
   return std::max<size_t>({1, needed, is_new ? first_total_ : 0});
 }
 
@@ -127,7 +131,7 @@
   }
   // What is present and beyond the plan goes only when it isn't needed, in the
   // dearest data centres first.
-  size_t present = Total(supply);
+  size_t present = Total(supply) - Cold(supply);
   size_t surplus = present > needed ? present - needed : 0;
   for (auto name = names.rbegin(); name != names.rend(); ++name) {
     size_t regular = supply.at(*name).regular;
@@ -141,8 +145,12 @@
 
 std::vector<ScaleOrder> EndpointScaler::DueOrders(
     const EndpointScaling& scaling, size_t places,
-    const SupplyByDataCentre& supply, TimePoint now) {
+    const SupplyByDataCentre& supply, bool is_rolling_out, TimePoint now) {
   size_t needed = Needed(places, supply, now);
+  auto is_wanted = [&](const ScaleOrder& order, size_t present) {
+    return (!is_rolling_out || IsRaise(order, present)) &&
+           IsDue(order, present, scaling.boot_time, now);
+  };
   auto reclaimable = PlanReclaimable(scaling, supply, needed, now);
   auto regular = PlanRegular(scaling, supply, reclaimable, needed);
   std::vector<ScaleOrder> due;
@@ -150,16 +158,20 @@
     auto planned = reclaimable.find(data_centre);
     if (planned != reclaimable.end()) {
       ScaleOrder order{service_, data_centre, planned->second, true};
-      bool is_due = IsDue(order, present.reclaimable, scaling.boot_time, now);
-      if (is_due) due.push_back(std::move(order));
+      if (is_wanted(order, present.reclaimable)) due.push_back(order);
     }
     ScaleOrder order{service_, data_centre, regular[data_centre], false};
-    bool is_due = IsDue(order, present.regular, scaling.boot_time, now);
-    if (is_due) due.push_back(std::move(order));
+    if (is_wanted(order, present.regular)) due.push_back(order);
   }
   return due;
 }
 
+bool EndpointScaler::IsRaise(const ScaleOrder& order, size_t present) const {
+  auto last = accepted_.find({order.data_centre, order.reclaimable});
+  size_t before = last == accepted_.end() ? present : last->second.desired;
+  return order.desired > before || order.desired > present;
+}
+
 bool EndpointScaler::IsDue(const ScaleOrder& order, size_t present,
                            nanoseconds boot_time, TimePoint now) {
   auto last = accepted_.find({order.data_centre, order.reclaimable});
--- a/leverwick/endpoint_scaler.h
+++ b/leverwick/endpoint_scaler.h
@@ -32,10 +32,11 @@
 
 namespace leverwick {
 
-// Endpoints of one service in one data centre that accept requests.
+// Endpoints of one service in one data centre that are not leaving.
 struct EndpointSupply {
   size_t regular = 0;
   size_t reclaimable = 0;
+  size_t cold = 0;  // of both, those that bear few requests yet
   size_t total() const { return regular + reclaimable; }
 };
 using SupplyByDataCentre = std::map<std::string, EndpointSupply>;
@@ -82,11 +83,12 @@
   }
   // Returns the orders that have changed, or have not been followed for long.
   // `places`: of one endpoint. `supply` holds every data centre that may be
-  // used.
+  // used. During a roll-out endpoints of two versions are present, and none is
+  // given up.
   std::vector<ScaleOrder> DueOrders(const EndpointScaling& scaling,
                                     size_t places,
                                     const SupplyByDataCentre& supply,
-                                    TimePoint now);
+                                    bool is_rolling_out, TimePoint now);
   void RecordAccepted(const ScaleOrder& order, TimePoint now);
   // The platform has no reclaimable endpoints in the order's data centre.
   void RecordUnavailable(const ScaleOrder& order, TimePoint now);
@@ -110,11 +112,12 @@
       const std::map<std::string, size_t>& reclaimable, size_t needed) const;
   bool IsDue(const ScaleOrder& order, size_t present, nanoseconds boot_time,
              TimePoint now);
+  bool IsRaise(const ScaleOrder& order, size_t present) const;
 
   const std::string service_;
   TargetUtilisationRule rule_;
   std::optional<TimePoint> first_seen_;
-  size_t first_total_ = 0;  // endpoints before this box ordered any
+  size_t first_total_ = 0;  // most endpoints that were there at first
   std::map<Key, Accepted> accepted_;
   std::map<std::string, TimePoint> unavailable_until_;  // by data centre
 };
--- a/leverwick/testing/endpoint_scaler_test.cc
+++ b/leverwick/testing/endpoint_scaler_test.cc
@@ -28,13 +28,15 @@
   SupplyByDataCentre supply;
   std::string empty;  // has no reclaimable endpoints
   size_t orders = 0;
+  bool is_rolling_out = false;
 
   // Returns the least that was present meanwhile.
   size_t Run(TimePoint now, double in_flight) {
     scaler.RecordDemand(in_flight, now);
     size_t least = Total();
     for (int round = 0; round < 20; ++round) {
-      auto due = scaler.DueOrders(scaling, kPlaces, supply, now);
+      auto due =
+          scaler.DueOrders(scaling, kPlaces, supply, is_rolling_out, now);
       if (due.empty()) break;
       for (const ScaleOrder& order : due) {
         Follow(order, now);
@@ -121,14 +123,36 @@
   EndpointScaling scaling = Scaling(0);
   SupplyByDataCentre supply = {{"a", {2, 0}}};
   scaler.RecordDemand(64, kStart);
-  auto due = scaler.DueOrders(scaling, kPlaces, supply, kStart);
+  auto due = scaler.DueOrders(scaling, kPlaces, supply, false, kStart);
   REQUIRE(due.size() == 1);
   CHECK(due[0].desired == 10);
   scaler.RecordAccepted(due[0], kStart);
   TimePoint later = kStart + 3 * scaling.boot_time;
-  CHECK(scaler.DueOrders(scaling, kPlaces, supply, later).empty());
+  CHECK(scaler.DueOrders(scaling, kPlaces, supply, false, later).empty());
   later += scaling.boot_time;
-  CHECK(scaler.DueOrders(scaling, kPlaces, supply, later).size() == 1);
+  CHECK(scaler.DueOrders(scaling, kPlaces, supply, false, later).size() == 1);
+}
+
+TEST_CASE("cold endpoints count as present, but take no other's place") {
+  Platform platform = Start(0.22);
+  platform.supply["a"].cold = 30;
+  platform.supply["b"].cold = 30;
+  platform.Run(kStart, 300);
+  size_t regular = 0;
+  for (const auto& [name, there] : platform.supply) regular += there.regular;
+  CHECK(platform.Total() >= 150);
+  CHECK(regular >= 60);
+}
+
+TEST_CASE("during a roll-out endpoints are added, and none is given up") {
+  Platform platform = Start(0);
+  platform.is_rolling_out = true;
+  for (int second = 0; second <= 40; ++second) {
+    platform.Run(kStart + std::chrono::seconds(second), 100);
+  }
+  CHECK(platform.Total() == 90);
+  platform.Run(kStart + std::chrono::seconds(41), 700);
+  CHECK(platform.Total() == 110);
 }
 
 TEST_CASE("demand is the mean number of requests in flight") {
