--- a/daemon/log_boxes.cc
+++ b/daemon/log_boxes.cc
@@ -109,6 +109,7 @@
   TellFleet();
   TimePoint now = Clock::now();
   fleet_start_.RecordList(fleet_.size() + 1, entered_, now);
+  EnterSelf(now);
   CheckSettled(now);
   follower_.SetInterval(
       std::chrono::duration_cast<milliseconds>(fleet_start_.ReadInterval(now)));
--- a/leverwick/endpoint_scaler.cc
+++ b/leverwick/endpoint_scaler.cc
@@ -1,5 +1,6 @@
 // The plan is made from scratch each time: reclaimable endpoints first, evenly
-// over the data centres where they can be had, then regular ones for the rest,
+// over the data centres where they can be had and so many that enough are left
+// when one of these loses all of them, then regular ones for the rest,
 // the cheapest first. Regular endpoints beyond the plan are given up only as
 // far as the endpoints that are present exceed what is needed.
 
@@ -97,7 +98,10 @@
     if (!is_out) available.push_back(data_centre);
   }
   size_t room = scaling.max_per_data_centre - scaling.min_per_data_centre;
-  size_t left = needed;
+  // What one data centre may lose at once, the others must have beside.
+  size_t centres = available.size();
+  size_t left =
+      centres > 1 ? (needed * centres + centres - 2) / (centres - 1) : needed;
   for (size_t i = 0; i < available.size(); ++i) {
     size_t others = available.size() - i;
     size_t share = std::min(room, (left + others - 1) / others);
@@ -157,7 +161,12 @@
   for (const auto& [data_centre, present] : supply) {
     auto planned = reclaimable.find(data_centre);
     if (planned != reclaimable.end()) {
-      ScaleOrder order{service_, data_centre, planned->second, true};
+      // The bound holds for both kinds, also while one takes the other's place.
+      size_t others = std::max(present.regular, regular[data_centre]);
+      size_t room = scaling.max_per_data_centre -
+                    std::min(others, scaling.max_per_data_centre);
+      size_t desired = std::min(planned->second, room);
+      ScaleOrder order{service_, data_centre, desired, true};
       if (is_wanted(order, present.reclaimable)) due.push_back(order);
     }
     ScaleOrder order{service_, data_centre, regular[data_centre], false};
--- a/leverwick/endpoint_scaler.h
+++ b/leverwick/endpoint_scaler.h
@@ -7,8 +7,8 @@
 //
 // Some platforms also rent out endpoints that they may reclaim at any time, all
 // of a data centre at once, for a lower price. If they are cheaper, the service
-// runs on these, spread evenly so that a data centre's loss leaves most of
-// them, and others are ordered only for what can't be had. Endpoints are given
+// runs on these, spread evenly and so many that a data centre's loss leaves
+// enough of them, and others are ordered only for what can't be had. Endpoints are given
 // up only when others have taken their place.
 //
 //   EndpointScaler scaler(options);
--- a/leverwick/testing/endpoint_scaler_test.cc
+++ b/leverwick/testing/endpoint_scaler_test.cc
@@ -29,6 +29,7 @@
   std::string empty;  // has no reclaimable endpoints
   size_t orders = 0;
   bool is_rolling_out = false;
+  bool new_are_cold = false;
 
   // Returns the least that was present meanwhile.
   size_t Run(TimePoint now, double in_flight) {
@@ -51,6 +52,10 @@
       return scaler.RecordUnavailable(order, now);
     }
     EndpointSupply& there = supply[order.data_centre];
+    bool is_raise = order.reclaimable && order.desired > there.reclaimable;
+    if (is_raise && new_are_cold) {
+      there.cold += order.desired - there.reclaimable;
+    }
     (order.reclaimable ? there.reclaimable : there.regular) = order.desired;
     CHECK(there.total() <= scaling.max_per_data_centre);
     CHECK(there.total() >= scaling.min_per_data_centre);
@@ -75,7 +80,7 @@
   CHECK(platform.Run(kStart, 300) >= 90);
   for (const auto& [name, there] : platform.supply) {
     CHECK(there.regular <= 2);
-    CHECK(there.reclaimable >= 29);
+    CHECK(there.reclaimable == 45);  // 90 are left without any of the three
   }
   size_t orders = platform.orders;
   platform.Run(kStart + std::chrono::seconds(1), 310);
@@ -90,7 +95,7 @@
   platform.Run(kStart + std::chrono::seconds(1), 300);
   CHECK(platform.Total() >= 90);
   CHECK(platform.supply["b"].reclaimable == 0);
-  CHECK(platform.supply["a"].reclaimable >= 40);
+  CHECK(platform.supply["a"].reclaimable == 59);  // the most that may be
   // It is asked again, but not at once.
   size_t orders = platform.orders;
   platform.Run(kStart + std::chrono::seconds(2), 300);
@@ -135,13 +140,17 @@
 
 TEST_CASE("cold endpoints count as present, but take no other's place") {
   Platform platform = Start(0.22);
-  platform.supply["a"].cold = 30;
-  platform.supply["b"].cold = 30;
+  platform.new_are_cold = true;
   platform.Run(kStart, 300);
   size_t regular = 0;
   for (const auto& [name, there] : platform.supply) regular += there.regular;
-  CHECK(platform.Total() >= 150);
-  CHECK(regular >= 60);
+  CHECK(platform.Total() == 180);
+  CHECK(regular == 90);
+  for (auto& [name, there] : platform.supply) there.cold = 0;
+  platform.Run(kStart + std::chrono::seconds(1), 300);
+  regular = 0;
+  for (const auto& [name, there] : platform.supply) regular += there.regular;
+  CHECK(regular <= 6);
 }
 
 TEST_CASE("during a roll-out endpoints are added, and none is given up") {
