--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -38,7 +38,7 @@
 constexpr milliseconds kLongestSnapshotTime{5000};
 // Boxes that turn to the store at once when no other box answers them. More of
 // them follow one after the other.
-constexpr double kFallbacksAtOnce = 12;
+constexpr double kFallbacksAtOnce = 50;
 constexpr milliseconds kFallbackStep{100};
 // For each so many boxes of the data centre, the pause after a failed call of
 // such a box is as long again.
