Load notes of a data centre don't grow with the square of its boxes

Cause: each prompt's two notes went to every box of the data centre: 200 boxes and 110 prompts a second are 44,000 datagrams a second in each. Change: up to 65 boxes tell all others as before; of more, each tells so many that the pairs stay those of 64.

--- a/daemon/load_exchange.cc
+++ b/daemon/load_exchange.cc
@@ -3,8 +3,11 @@
 
 #include "daemon/load_exchange.h"
 
+#include <map>
 #include <random>
 
+#include "leverwick/gossip_fanout.h"
+
 namespace leverwick {
 namespace {
 
@@ -15,11 +18,12 @@
 }  // namespace
 
 LoadExchange::LoadExchange(boost::asio::io_context* loop, EngineLoads* loads,
-                           PeerDatagrams* datagrams, std::string data_centre,
+                           PeerDatagrams* datagrams, const BoxLocation& self,
                            size_t most_far)
     : loads_(loads),
       datagrams_(datagrams),
-      data_centre_(std::move(data_centre)),
+      box_(self.name),
+      data_centre_(self.data_centre),
       most_far_(most_far),
       timer_(*loop) {
   notes_.set_life(std::random_device{}());
@@ -34,10 +38,19 @@
 
 void LoadExchange::SetBoxes(const std::vector<PeerDatagrams::Peer>& boxes) {
   std::vector<PeerDatagrams::Address> far;
-  told_.clear();
+  std::map<std::string, PeerDatagrams::Address> near;
+  std::vector<std::string> names;
   for (const PeerDatagrams::Peer& box : boxes) {
-    auto& group = box.data_centre == data_centre_ ? told_ : far;
-    group.push_back(box.address);
+    if (box.data_centre != data_centre_) {
+      far.push_back(box.address);
+      continue;
+    }
+    near[box.name] = box.address;
+    names.push_back(box.name);
+  }
+  told_.clear();
+  for (const std::string& name : GossipRecipients(box_, std::move(names))) {
+    told_.push_back(near[name]);
   }
   if (far.size() <= most_far_)
     told_.insert(told_.end(), far.begin(), far.end());
--- a/daemon/load_exchange.h
+++ b/daemon/load_exchange.h
@@ -5,11 +5,12 @@
 // other datagrams, gathered for some milliseconds. Nothing is acknowledged or
 // kept. Gains earlier answers where endpoints read long prompts.
 //
-// Boxes of the own data centre get every note. Those of other data centres get
+// Boxes of the own data centre get every note, or some of them where they are
+// many (leverwick/gossip_fanout.h). Those of other data centres get
 // them only where there are few, since a note to each costs bytes between data
 // centres with each request.
 //
-//   LoadExchange exchange(&loop, &loads, &datagrams, data_centre, most_far);
+//   LoadExchange exchange(&loop, &loads, &datagrams, self, most_far);
 //   exchange.Start();
 //   exchange.SetBoxes(peers);
 
@@ -23,6 +24,7 @@
 
 #include "daemon/peer_datagrams.h"
 #include "leverwick/engine_loads.h"
+#include "leverwick/send_permits.h"
 #include "schema/peer.pb.h"
 
 namespace leverwick {
@@ -34,7 +36,7 @@
   // `most_far`: boxes of other data centres are told if there are at most so
   // many.
   LoadExchange(boost::asio::io_context* loop, EngineLoads* loads,
-               PeerDatagrams* datagrams, std::string data_centre,
+               PeerDatagrams* datagrams, const BoxLocation& self,
                size_t most_far);
   ~LoadExchange() override;
 
@@ -59,6 +61,7 @@
 
   EngineLoads* const loads_;
   PeerDatagrams* const datagrams_;
+  const std::string box_;
   const std::string data_centre_;
   const size_t most_far_;
   boost::asio::steady_timer timer_;
--- a/daemon/testing/load_exchange_test.cc
+++ b/daemon/testing/load_exchange_test.cc
@@ -26,7 +26,8 @@
       size_t most_far)
       : address(FreePort(loop)),
         datagrams(loop, &metrics),
-        exchange(loop, &loads, &datagrams, data_centre, most_far),
+        exchange(loop, &loads, &datagrams, {TextOf(address), data_centre},
+                 most_far),
         entry{TextOf(address), data_centre, TextOf(address)} {
     exchange.Start();
     REQUIRE_FALSE(datagrams.Start({address.address(), address.port()}));
