EndpointDirectory: no work for each endpoint in each tick, one line for a long list

Change: entries are looked through only while one is doubtful, lives once a minute; a list that is read as a whole with more than 200 new endpoints has one line.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -23,6 +23,12 @@
 constexpr milliseconds kServesOn{1800};
 // An entry that lapsed may come back this much later.
 constexpr std::chrono::minutes kLifeKept{10};
+// Lives are looked through this often: with thousands of them that is no work
+// for each tick.
+constexpr std::chrono::minutes kLivesInterval{1};
+// Of a list that is read as a whole, so many new endpoints have a log line
+// each.
+constexpr size_t kMaxListLines = 200;
 
 // As the pool knows it: by the id of its life, not by its address.
 ListedEndpoint ListedOf(const DirectoryEntry& entry) {
@@ -47,7 +53,9 @@
   bool left =
       lives_[entry.id].said_leaving || (!is_new && found->second.entry.leaving);
   entry.leaving = entry.leaving || left;
-  if (is_new || found->second.entry.leaving != entry.leaving) {
+  bool has_line =
+      !omits_lines_ && (is_new || found->second.entry.leaving != entry.leaving);
+  if (has_line) {
     kLog.Info(entry.leaving ? "Endpoint is leaving." : "Endpoint is listed.",
               {{"endpoint", entry.id},
                {"service", entry.service},
@@ -55,7 +63,8 @@
                {"address", entry.address}});
   }
   bool cold = entry.cold_for > milliseconds(0);
-  if (cold && (is_new || found->second.entry.cold_for == milliseconds(0))) {
+  if (cold && !omits_lines_ &&
+      (is_new || found->second.entry.cold_for == milliseconds(0))) {
     kLog.Info("Endpoint is cold.",
               {{"endpoint", entry.id},
                {"for_ms", std::to_string(entry.cold_for.count())}});
@@ -96,6 +105,7 @@
   bool in_doubt = IsInDoubt(now, &kept_until);
   if (in_doubt && !found->second.entry.leaving) {
     found->second.doubtful = true;
+    any_doubtful_ = true;
     found->second.kept_until = kept_until;
     kLog.Info("Endpoint vanished while the list was away.", {{"endpoint", id}});
     return;
@@ -112,7 +122,15 @@
     if (listed.count(known.first) == 0) missing.push_back(known.first);
   }
   for (const std::string& id : missing) Remove(id, now);
+  size_t before = entries_.size();
+  omits_lines_ = entries.size() > before + kMaxListLines;
   for (const DirectoryEntry& entry : entries) Put(entry, now);
+  if (omits_lines_) {
+    kLog.Info("Endpoints are listed.",
+              {{"before", std::to_string(before)},
+               {"now", std::to_string(entries_.size())}});
+  }
+  omits_lines_ = false;
 }
 
 void EndpointDirectory::Gone(const std::string& id, TimePoint now) {
@@ -153,17 +171,22 @@
 }
 
 void EndpointDirectory::Expire(TimePoint now) {
+  ForgetLives(now);
+  if (!any_doubtful_) return;
+  any_doubtful_ = false;
   bool in_doubt = away_ || now - back_at_ < kReturnTime;
   std::vector<std::string> expired;
   for (const auto& [id, known] : entries_) {
     bool over = known.doubtful && (!in_doubt || now >= known.kept_until);
     if (over) expired.push_back(id);
+    any_doubtful_ = any_doubtful_ || (known.doubtful && !over);
   }
   for (const std::string& id : expired) Erase(id);
-  ForgetLives(now);
 }
 
 void EndpointDirectory::ForgetLives(TimePoint now) {
+  if (now < lives_at_) return;
+  lives_at_ = now + kLivesInterval;
   for (auto life = lives_.begin(); life != lives_.end();) {
     if (entries_.count(life->first) > 0) life->second.listed_at = now;
     bool old = now - life->second.listed_at > kLifeKept;
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -141,6 +141,9 @@
       [](const std::string&) {};
   std::function<void(const std::string& life)> on_gone_ =
       [](const std::string&) {};
+  bool any_doubtful_ = false;
+  bool omits_lines_ = false;  // of endpoints that are listed
+  TimePoint lives_at_{};      // when lives are looked through next
   bool away_ = false;
   TimePoint back_at_{};  // as of the first read after failed ones
   TimePoint read_at_{};  // as of the last read
