--- a/daemon/duty_holder.h
+++ b/daemon/duty_holder.h
@@ -39,9 +39,7 @@
   void Start() { follower_.Start(); }
   void Tick(TimePoint now);
   // The names of all boxes but this one.
-  void SetBoxes(std::vector<std::string> others) {
-    turns_.SetBoxes(std::move(others));
-  }
+  void SetBoxes(std::vector<std::string> others);
   // Leaves the duties to another box for `absence`.
   void Release(nanoseconds absence);
 
@@ -76,6 +74,7 @@
   std::mt19937_64 random_;
   std::optional<LeaseRecord> newest_;
   double turn_draw_ = 0;
+  nanoseconds turn_delay_{0};  // until this box's turn to take the lease over
   bool held_ = false;  // when it was told last
 };
 
--- a/leverwick/stable_wall_clock.h
+++ b/leverwick/stable_wall_clock.h
@@ -24,12 +24,9 @@
     if (!offset_) offset_ = offset;
     nanoseconds change = offset - *offset_;
     bool is_step = change > kStep || change < -kStep;
-    if (!is_step) {
-      stepped_at_.reset();
-      offset_ = offset;
-    } else if (!stepped_at_) {
-      stepped_at_ = now;
-    } else if (now - *stepped_at_ >= kAdoptAfter) {
+    if (is_step && !stepped_at_) stepped_at_ = now;
+    bool has_lasted = is_step && now - *stepped_at_ >= kAdoptAfter;
+    if (!is_step || has_lasted) {
       stepped_at_.reset();
       offset_ = offset;
     }
