--- a/daemon/duty_holder.cc
+++ b/daemon/duty_holder.cc
@@ -71,6 +71,12 @@
   turn_draw_ = std::uniform_real_distribution<>(0, 1)(random_);
 }
 
+void DutyHolder::SetBoxes(std::vector<std::string> others) {
+  turns_.SetBoxes(std::move(others));
+  nanoseconds window = kTurns + kTurnsPerBox * turns_.boxes();
+  turn_delay_ = turns_.DelayBefore("duties", window, turn_draw_);
+}
+
 void DutyHolder::OnSnapshot(const std::vector<KeyedRecord>& records) {
   newest_.reset();
   for (const KeyedRecord& record : records) OnRecord(record);
@@ -90,9 +96,8 @@
 
 void DutyHolder::Tick(TimePoint now) {
   if (!follower_.running()) return;
-  nanoseconds window = kTurns + kTurnsPerBox * turns_.boxes();
-  nanoseconds delay = turns_.DelayBefore("duties", window, turn_draw_);
-  auto append = lease_.NextAppend(delay, now, std::chrono::system_clock::now());
+  auto append =
+      lease_.NextAppend(turn_delay_, now, std::chrono::system_clock::now());
   if (append) Append(*append);
   TellChange(lease_.TokenAt(now).has_value());
 }
