--- a/leverwick/log_cache.cc
+++ b/leverwick/log_cache.cc
@@ -22,7 +22,8 @@
   offsets_.clear();
   tombstones_.clear();
   ++revision_;
-  uint64_t offset = end - std::min<uint64_t>(end, records.size());
+  Offset offset =
+      static_cast<Offset>(end) - static_cast<Offset>(records.size());
   for (const KeyedRecord& record : records) StoreRecord(offset++, record);
   complete_from_ = end;  // earlier tombstones may be missing
   end_ = end;
@@ -32,7 +33,7 @@
 }
 
 void LogCache::ApplyPage(const LogPage& page) {
-  uint64_t offset = page.next - page.records.size();
+  Offset offset = static_cast<Offset>(page.next - page.records.size());
   for (const KeyedRecord& record : page.records) {
     if (!IsRenewal(record)) StoreRecord(offset, record);
     ++offset;
@@ -50,7 +51,7 @@
   return before.value && is_renewal_(*before.value, *record.value);
 }
 
-void LogCache::StoreRecord(uint64_t offset, const KeyedRecord& record) {
+void LogCache::StoreRecord(Offset offset, const KeyedRecord& record) {
   ++revision_;
   auto found = offsets_.find(record.key);
   if (found != offsets_.end()) {
@@ -65,7 +66,8 @@
 void LogCache::EvictOldTombstones() {
   while (tombstones_.size() > kMaxTombstones) {
     auto oldest = tombstones_.begin();
-    complete_from_ = std::max(complete_from_, oldest->first + 1);
+    auto after = static_cast<uint64_t>(std::max<Offset>(0, oldest->first + 1));
+    complete_from_ = std::max(complete_from_, after);
     records_.erase(oldest->first);
     offsets_.erase(oldest->second);
     tombstones_.erase(oldest);
@@ -75,7 +77,9 @@
 bool LogCache::ReadFrom(uint64_t from, LogPage* page) const {
   if (from != 0 && from < complete_from_) return false;
   page->records.clear();
-  for (auto it = records_.lower_bound(from); it != records_.end(); ++it) {
+  auto first = from == 0 ? records_.begin()
+                         : records_.lower_bound(static_cast<Offset>(from));
+  for (auto it = first; it != records_.end(); ++it) {
     bool is_needless_tombstone = from == 0 && !it->second.value;
     if (!is_needless_tombstone) page->records.push_back(it->second);
   }
--- a/leverwick/log_cache.h
+++ b/leverwick/log_cache.h
@@ -59,14 +59,18 @@
   bool ReadFrom(uint64_t from, LogPage* page) const;
 
  private:
-  void StoreRecord(uint64_t offset, const KeyedRecord& record);
+  // Signed, since the records of a snapshot may be more than the offsets before
+  // its end: they are read while others are written.
+  using Offset = int64_t;
+
+  void StoreRecord(Offset offset, const KeyedRecord& record);
   void EvictOldTombstones();
 
   // The newest record of each key, by offset. An offset may be later than the
   // record's own but never earlier, so that no reader misses a record.
-  std::map<uint64_t, KeyedRecord> records_;
-  std::map<std::string, uint64_t> offsets_;     // by key
-  std::map<uint64_t, std::string> tombstones_;  // offset to deleted key
+  std::map<Offset, KeyedRecord> records_;
+  std::map<std::string, Offset> offsets_;     // by key
+  std::map<Offset, std::string> tombstones_;  // offset to deleted key
   uint64_t complete_from_ = 0;  // no record has been evicted from here on
   uint64_t end_ = 0;
   TimePoint as_of_{};
--- a/leverwick/testing/log_cache_test.cc
+++ b/leverwick/testing/log_cache_test.cc
@@ -157,5 +157,36 @@
   CHECK(cache.as_of() == start + milliseconds(5));
 }
 
+// The pages of a snapshot are read while others write: the later ones hold
+// records beyond the end that the first one told.
+TEST_CASE("a snapshot with more records than its end loses none") {
+  LogCache cache;
+  cache.SetRenewalTest([](const std::string& before, const std::string& after) {
+    return before == after;
+  });
+  cache.LoadSnapshot({{"a", "1"}, {"b", "1"}, {"c", "1"}, {"d", "1"}}, 1,
+                     TimePoint());
+  LogPage page;
+  page.records = {{"b", "1"}, {"c", "2"}, {"d", "1"}};
+  page.next = page.end = 4;
+  cache.ApplyPage(page);
+  LogPage all;
+  REQUIRE(cache.ReadFrom(0, &all));
+  std::map<std::string, std::string> held;
+  for (const KeyedRecord& record : all.records) {
+    held[record.key] = record.value.value_or("none");
+  }
+  std::map<std::string, std::string> wanted = {
+      {"a", "1"}, {"b", "1"}, {"c", "2"}, {"d", "1"}};
+  CHECK(held == wanted);
+  CHECK(cache.IsRenewal({"b", "1"}));
+  CHECK_FALSE(cache.IsRenewal({"c", "1"}));
+  // What only renews is not passed on, the change is.
+  REQUIRE(cache.ReadFrom(1, &all));
+  REQUIRE(all.records.size() == 1);
+  CHECK(all.records[0].key == "c");
+  CHECK(all.next == 4);
+}
+
 }  // namespace
 }  // namespace leverwick
