--- a/daemon/duty_holder.h
+++ b/daemon/duty_holder.h
@@ -75,7 +75,7 @@
   std::optional<LeaseRecord> newest_;
   double turn_draw_ = 0;
   nanoseconds turn_delay_{0};  // until this box's turn to take the lease over
-  bool held_ = false;  // when it was told last
+  bool held_ = false;          // when it was told last
 };
 
 }  // namespace leverwick
