--- a/leverwick/endpoint_scaler.h
+++ b/leverwick/endpoint_scaler.h
@@ -8,8 +8,8 @@
 // Some platforms also rent out endpoints that they may reclaim at any time, all
 // of a data centre at once, for a lower price. If they are cheaper, the service
 // runs on these, spread evenly and so many that a data centre's loss leaves
-// enough of them, and others are ordered only for what can't be had. Endpoints are given
-// up only when others have taken their place.
+// enough of them, and others are ordered only for what can't be had. Endpoints
+// are given up only when others have taken their place.
 //
 //   EndpointScaler scaler(options);
 //   scaler.RecordDemand(120.5, now);
