Times of EngineLoads, ServiceDemand and a simulation are std::chrono

Change: Seconds throughout, also the constants beside them; the arithmetic is the same, in the same order.

--- a/leverwick/engine_loads.cc
+++ b/leverwick/engine_loads.cc
@@ -23,9 +23,9 @@
 // factor includes them.
 constexpr double kPrefillInterference = 6;
 // Delays below this are ordinary variation of the engines.
-constexpr double kDelayTolerance = 0.3;  // seconds
+constexpr Seconds kDelayTolerance{0.3};
 // The weight of an observed delay halves in this time.
-constexpr double kDelayHalfLife = 1.0;  // seconds
+constexpr Seconds kDelayHalfLife{1.0};
 // Exponential smoothing factor of an endpoint's delay.
 constexpr double kDelaySmoothing = 0.5;
 // Exponential smoothing factors of the latency model, towards longer and
@@ -37,18 +37,18 @@
 constexpr double kLongPromptTokens = 1000;
 // A failure counts as a delay of this length, which decays like an observed
 // one.
-constexpr double kFailureDelay = 3;  // seconds
+constexpr Seconds kFailureDelay{3};
 // Delays below this no longer distinguish endpoints and are dropped.
-constexpr double kNegligibleDelay = 0.01;  // seconds
+constexpr Seconds kNegligibleDelay{0.01};
 // If this many endpoints of a data centre have failed and none has responded
 // since, the cause is taken to be a network partition rather than the
 // endpoints. While the data centre is avoided, a request that finds no capacity
 // elsewhere still goes there and detects the end of the partition.
 constexpr size_t kPartitionEndpoints = 3;
 constexpr std::chrono::seconds kPartitionMemory{2};
-constexpr double kPartitionDelay = 1;  // seconds
+constexpr Seconds kPartitionDelay{1};
 // Each concurrent request adds this delay.
-constexpr double kConcurrencyDelay = 0.002;  // seconds
+constexpr Seconds kConcurrencyDelay{0.002};
 
 uint64_t PartKey(const std::string& model, const std::string& part) {
   return StableHash(part, StableHash(model));
@@ -81,9 +81,9 @@
   return uncached_tokens;
 }
 
-double EngineLoads::DecayedDelay(const Endpoint& endpoint, TimePoint now) {
-  double age = ToSeconds(now - endpoint.delay_at);
-  return endpoint.delay * std::exp2(-age / kDelayHalfLife);
+Seconds EngineLoads::DecayedDelay(const Endpoint& endpoint, TimePoint now) {
+  Seconds age = now - endpoint.delay_at;
+  return endpoint.delay * std::exp2(-(age / kDelayHalfLife));
 }
 
 const EngineLoads::LatencyModel& EngineLoads::LatencyModelFor(
@@ -98,23 +98,22 @@
                                   TimePoint now) const {
   const LatencyModel& model = LatencyModelFor(work.kind);
   double uncached_tokens = UncachedTokens(endpoint, work, preferred, now);
-  double wait =
-      model.base_seconds + PendingPrefill(endpoint).count() +
-      kPrefillInterference * uncached_tokens * model.seconds_per_token;
+  Seconds wait =
+      model.base_latency + PendingPrefill(endpoint) +
+      kPrefillInterference * uncached_tokens * model.prefill_per_token;
   auto found = endpoints_.find(endpoint);
-  if (found == endpoints_.end()) return Seconds(wait);
-  double concurrency_delay =
+  if (found == endpoints_.end()) return wait;
+  Seconds concurrency_delay =
       kConcurrencyDelay *
       static_cast<double>(found->second.awaiting_response.size());
-  return Seconds(wait + concurrency_delay) + ObservedDelay(endpoint, now);
+  return wait + concurrency_delay + ObservedDelay(endpoint, now);
 }
 
 Seconds EngineLoads::UnloadedWait(const std::string& endpoint,
                                   const EngineWork& work, TimePoint now) const {
   const LatencyModel& model = LatencyModelFor(work.kind);
   double uncached_tokens = UncachedTokens(endpoint, work, false, now);
-  return Seconds(model.base_seconds +
-                 uncached_tokens * model.seconds_per_token);
+  return model.base_latency + uncached_tokens * model.prefill_per_token;
 }
 
 Seconds EngineLoads::ObservedDelay(const std::string& endpoint,
@@ -122,19 +121,20 @@
   auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) return Seconds(0);
   const Endpoint& state = found->second;
-  double waited = 0;
+  Seconds waited{0};
   if (!state.awaiting_response.empty()) {
     const Pending& oldest = pending_.at(state.awaiting_response.begin()->first);
-    waited = ToSeconds(now - oldest.sent) - oldest.expected_wait;
+    waited = now - oldest.sent - oldest.expected_wait;
   }
-  double delay = std::max(DecayedDelay(state, now), waited);
-  return Seconds(std::max(0.0, delay - kDelayTolerance));
+  Seconds delay = std::max(DecayedDelay(state, now), waited);
+  return std::max(Seconds(0), delay - kDelayTolerance);
 }
 
 Seconds EngineLoads::PendingPrefill(const std::string& endpoint) const {
   auto found = endpoints_.find(endpoint);
-  Seconds own(found == endpoints_.end() ? 0 : found->second.prefill_seconds);
-  return own + peer_prompts_.PendingPrefillAt(endpoint);
+  Seconds peers = peer_prompts_.PendingPrefillAt(endpoint);
+  if (found == endpoints_.end()) return peers;
+  return found->second.prefill_time + peers;
 }
 
 uint64_t EngineLoads::RecordSend(const std::string& endpoint,
@@ -146,12 +146,12 @@
   pending.uncached_tokens = UncachedTokens(endpoint, work, false, now);
   pending.sent = now;
   const LatencyModel& model = LatencyModelFor(work.kind);
-  pending.prefill_seconds = pending.uncached_tokens * model.seconds_per_token;
-  pending.expected_wait = model.base_seconds + pending.prefill_seconds +
-                          PendingPrefill(endpoint).count();
+  pending.prefill_time = pending.uncached_tokens * model.prefill_per_token;
+  pending.expected_wait =
+      model.base_latency + pending.prefill_time + PendingPrefill(endpoint);
   Endpoint& target = endpoints_[endpoint];
   target.awaiting_response[ticket] = now;
-  target.prefill_seconds += pending.prefill_seconds;
+  target.prefill_time += pending.prefill_time;
   pending_[ticket] = std::move(pending);
   if (work.prompt != nullptr) RecordCachedParts(ticket, work, now);
   return ticket;
@@ -186,20 +186,20 @@
 
 Seconds EngineLoads::ExpectedPrefill(uint64_t ticket) const {
   auto found = pending_.find(ticket);
-  return Seconds(found == pending_.end() ? 0 : found->second.prefill_seconds);
+  return found == pending_.end() ? Seconds(0) : found->second.prefill_time;
 }
 
-void EngineLoads::UpdateLatencyModel(const Pending& pending, double elapsed) {
+void EngineLoads::UpdateLatencyModel(const Pending& pending, Seconds elapsed) {
   LatencyModel& model = latency_models_[pending.kind];
-  auto smooth = [](double* value, double sample) {
+  auto smooth = [](Seconds* value, Seconds sample) {
     *value += (sample < *value ? kLatencyFallRate : kLatencyRiseRate) *
               (sample - *value);
   };
   if (pending.uncached_tokens < kLongPromptTokens) {
-    smooth(&model.base_seconds, elapsed);
+    smooth(&model.base_latency, elapsed);
   } else {
-    double prefill = std::max(0.0, elapsed - model.base_seconds);
-    smooth(&model.seconds_per_token, prefill / pending.uncached_tokens);
+    Seconds prefill = std::max(Seconds(0), elapsed - model.base_latency);
+    smooth(&model.prefill_per_token, prefill / pending.uncached_tokens);
   }
 }
 
@@ -207,11 +207,11 @@
   auto found = pending_.find(ticket);
   if (found == pending_.end()) return;
   const Pending& pending = found->second;
-  double elapsed = ToSeconds(now - pending.sent);
+  Seconds elapsed = now - pending.sent;
   Endpoint& endpoint = endpoints_[pending.endpoint];
-  double lateness = std::max(0.0, elapsed - pending.expected_wait);
+  Seconds lateness = std::max(Seconds(0), elapsed - pending.expected_wait);
   endpoint.delay += kDelaySmoothing * (lateness - DecayedDelay(endpoint, now));
-  endpoint.delay = std::max(0.0, endpoint.delay);
+  endpoint.delay = std::max(Seconds(0), endpoint.delay);
   endpoint.delay_at = now;
   UpdateLatencyModel(pending, elapsed);
   RecordFinish(ticket);
@@ -221,8 +221,8 @@
   auto found = pending_.find(ticket);
   if (found == pending_.end()) return;
   Endpoint& endpoint = endpoints_[found->second.endpoint];
-  endpoint.prefill_seconds =
-      std::max(0.0, endpoint.prefill_seconds - found->second.prefill_seconds);
+  endpoint.prefill_time =
+      std::max(Seconds(0), endpoint.prefill_time - found->second.prefill_time);
   bool notify = found->second.observer_notified && observer_ != nullptr;
   if (notify) observer_->OnPrefillDone(ticket);
   endpoint.awaiting_response.erase(ticket);
@@ -248,7 +248,7 @@
   auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) return;
   found->second.cached_parts.clear();
-  found->second.delay = 0;
+  found->second.delay = Seconds(0);
 }
 
 void EngineLoads::RecordReachable(const std::string& data_centre) {
@@ -261,7 +261,7 @@
   bool partitioned = found != failures_.end() &&
                      found->second.endpoints.size() >= kPartitionEndpoints &&
                      now - found->second.last < kPartitionMemory;
-  return Seconds(partitioned ? kPartitionDelay : 0);
+  return partitioned ? kPartitionDelay : Seconds(0);
 }
 
 void EngineLoads::Expire(TimePoint now) {
--- a/leverwick/engine_loads.h
+++ b/leverwick/engine_loads.h
@@ -108,8 +108,8 @@
     std::string endpoint;
     std::string kind;
     double uncached_tokens = 0;
-    double expected_wait = 0;    // seconds until the response starts
-    double prefill_seconds = 0;  // included in expected_wait
+    Seconds expected_wait{0};  // until the response starts
+    Seconds prefill_time{0};   // included in expected_wait
     TimePoint sent{};
     bool observer_notified = false;
   };
@@ -118,15 +118,15 @@
     std::unordered_map<uint64_t, TimePoint> cached_parts;
     // Send times by ticket; tickets are in the order of sending.
     std::map<uint64_t, TimePoint> awaiting_response;
-    double prefill_seconds = 0;  // sum over awaiting_response
-    double delay = 0;            // seconds above expected_wait, as of delay_at
+    Seconds prefill_time{0};  // sum over awaiting_response
+    Seconds delay{0};         // above expected_wait, as of delay_at
     TimePoint delay_at{};
   };
   // Predicts the time until the response starts for requests of a kind on an
   // idle endpoint.
   struct LatencyModel {
-    double base_seconds = 0.03;       // without prefill
-    double seconds_per_token = 5e-5;  // of prefill
+    Seconds base_latency{0.03};  // without prefill
+    Seconds prefill_per_token{5e-5};
   };
   // Endpoints of one data centre that failed since one of them last responded.
   struct Failures {
@@ -138,14 +138,14 @@
   // have in its cache.
   double UncachedTokens(const std::string& endpoint, const EngineWork& work,
                         bool preferred, TimePoint now) const;
-  static double DecayedDelay(const Endpoint& endpoint, TimePoint now);
+  static Seconds DecayedDelay(const Endpoint& endpoint, TimePoint now);
   const LatencyModel& LatencyModelFor(const std::string& kind) const;
   // Returns how much later than expected responses start there at present.
   Seconds ObservedDelay(const std::string& endpoint, TimePoint now) const;
   // Returns the pending prefill time at the endpoint, for this box and for the
   // boxes that report.
   Seconds PendingPrefill(const std::string& endpoint) const;
-  void UpdateLatencyModel(const Pending& pending, double elapsed);
+  void UpdateLatencyModel(const Pending& pending, Seconds elapsed);
   // Marks the prompt parts as cached at the endpoint, and notifies the
   // observer.
   void RecordCachedParts(uint64_t ticket, const EngineWork& work,
--- a/leverwick/service_demand.h
+++ b/leverwick/service_demand.h
@@ -36,11 +36,11 @@
   // Returns the mean number in flight by service since the last call.
   std::map<std::string, double> TakeMeans(TimePoint now) {
     std::map<std::string, double> means;
-    double span = ToSeconds(now - since_);
+    Seconds span = now - since_;
     for (auto& [name, known] : services_) {
       Advance(now, &known);
-      if (span > 0) means[name] = known.in_flight_seconds / span;
-      known.in_flight_seconds = 0;
+      if (span > Seconds(0)) means[name] = known.request_time / span;
+      known.request_time = Seconds(0);
     }
     since_ = now;
     return means;
@@ -49,15 +49,15 @@
  private:
   struct Service {
     size_t in_flight = 0;
-    double in_flight_seconds = 0;  // requests x seconds since TakeMeans
-    TimePoint at{};                // up to which they are counted
+    Seconds request_time{0};  // of all requests together, since TakeMeans
+    TimePoint at{};           // up to which they are counted
   };
 
   void Advance(TimePoint now, Service* known) const {
     TimePoint from = std::max(known->at, since_);
     if (now > from) {
-      known->in_flight_seconds +=
-          static_cast<double>(known->in_flight) * ToSeconds(now - from);
+      known->request_time +=
+          static_cast<double>(known->in_flight) * Seconds(now - from);
     }
     known->at = now;
   }
--- a/leverwick/testing/backoff_simulation.h
+++ b/leverwick/testing/backoff_simulation.h
@@ -229,8 +229,8 @@
           soonest, policies_[box]->TimeUntilSendAllowed(EndpointName(i), now_));
     }
     if (soonest <= nanoseconds(0)) return;
-    double jitter_seconds = std::uniform_real_distribution<>(0, 1)(random_);
-    retries_.insert({now_ + soonest + FromSeconds(jitter_seconds), box});
+    Seconds jitter(std::uniform_real_distribution<>(0, 1)(random_));
+    retries_.insert({now_ + soonest + FromSeconds(jitter.count()), box});
   }
 
   size_t ChooseEndpoint(size_t box, size_t attempted_endpoint) {
