--- a/net/testing/http_test.cc
+++ b/net/testing/http_test.cc
@@ -96,12 +96,13 @@
     }
   });
   EndpointClient client;
-  auto call = [&client](const std::string& address, const std::string& path) {
+  auto call = [&client](const std::string& address, const std::string& path,
+                        milliseconds timeout = milliseconds(5000)) {
     EndpointCall call;
     call.address = address;
     call.path = path;
     call.connect_timeout = milliseconds(300);
-    call.timeout = milliseconds(200);
+    call.timeout = timeout;
     call.fresh_connection = true;
     return client.Call(call);
   };
@@ -109,7 +110,8 @@
   CHECK(call(kAddress, "/").body == "whole");
   CHECK(call(kAddress, "/refuse").not_started);
   CHECK(call(kAddress, "/break").kind == EndpointAnswer::kLost);
-  CHECK(call(kAddress, "/hang").kind == EndpointAnswer::kTimedOut);
+  CHECK(call(kAddress, "/hang", milliseconds(200)).kind ==
+        EndpointAnswer::kTimedOut);
   CHECK(call("127.0.0.1:1", "/").kind == EndpointAnswer::kNotSent);
   CHECK(received == 5);
 }
