A request whose version was withdrawn before it was sent is served by another one

Cause: a request chooses its version by the table in force then, and is checked against the newest one before its dispatch; withdrawn in between, it was refused (2006, not run) though another version could serve it. Change: if nothing was sent and another table is in force, the choice is made once more by that one. A session on the withdrawn version is refused as before.

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -85,6 +85,7 @@
   void FinishClaim(Exchange* exchange, const Outcome& outcome, int status,
                    const std::string& content_type, const std::string& body);
 
+  bool AdoptNewTable(Exchange* exchange) const;
   Outcome RunChat(Exchange* exchange, const ChatRequest& chat, Choice* choice);
   Outcome RunUnary(Exchange* exchange, const ChatRequest& chat, Choice* choice);
   Outcome RunStream(Exchange* exchange, const ChatRequest& chat,
--- a/daemon/gateway_chat.cc
+++ b/daemon/gateway_chat.cc
@@ -254,6 +254,19 @@
                        : RunUnary(exchange, chat, choice);
 }
 
+// True if another table is in force than the choice was made by, and nothing
+// was sent yet.
+bool Gateway::AdoptNewTable(Exchange* exchange) const {
+  std::shared_ptr<const Table> table = node_->tables.table();
+  if (exchange->attempts > 0 || table == exchange->table) return false;
+  const Organisation* organisation =
+      table->FindOrganisation(exchange->organisation->name());
+  if (organisation == nullptr) return false;
+  exchange->table = std::move(table);
+  exchange->organisation = organisation;
+  return true;
+}
+
 void Gateway::Chat(Exchange* exchange) {
   Outcome outcome = Open(exchange);
   if (!outcome.ok()) return Refuse(exchange, outcome);
@@ -279,7 +292,19 @@
   if (!outcome.ok()) return Refuse(exchange, outcome);
   if (!ClaimKeyOf(exchange)) return;
   StartSession(*exchange, &choice);
+  // Holds what the first choice names.
+  std::shared_ptr<const Table> chosen_by = exchange->table;
   outcome = RunChat(exchange, chat, &choice);
+  // Its version may have been withdrawn since it was chosen, and another one
+  // may serve the request.
+  if (outcome.result == Result::kNoEndpoint && AdoptNewTable(exchange)) {
+    choice = Choice();
+    outcome = Choose(exchange, chat, &choice);
+    if (outcome.ok()) {
+      StartSession(*exchange, &choice);
+      outcome = RunChat(exchange, chat, &choice);
+    }
+  }
   double actual = 0;
   for (const BillLeg& leg : exchange->bill.legs()) {
     actual +=
