Many changes are deflated for other boxes, as a whole topic is

Cause: a page of changes went to each box of a data centre as the endpoints had written it: 1,500 changes at one moment are half a megabyte for each of a hundred boxes, whose links carry 10 Mbit/s. Change: pages of 100 records and more are deflated, once for all that ask from the same offset.

--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -14,7 +14,7 @@
 
 // An ask that is held beyond this is the asker's fault: it is answered as is.
 constexpr milliseconds kLongestHold{30000};
-// Records from which on a whole topic is deflated: some 30 KB.
+// Records from which on they are deflated: some 30 KB.
 constexpr size_t kLongPage = 100;
 // A small box has 160 MB in all.
 constexpr size_t kMaxBytesOnTheWay = 16UL << 20;
@@ -128,19 +128,10 @@
   }
   uint64_t end = page.end;
   TimePoint as_of = page.as_of;
-  bool is_long = ask.from() == 0 && page.records.size() >= kLongPage;
-  if (is_long) {
-    auto known = snapshots_.find(ask.topic());
-    bool is_new =
-        known == snapshots_.end() || known->second.revision != cache.revision();
-    if (is_new) {
-      std::string records = RecordsOf(std::move(page)).SerializeAsString();
-      snapshots_[ask.topic()] = {cache.revision(), Deflate(records),
-                                 records.size()};
-    }
-    const Snapshot& snapshot = snapshots_[ask.topic()];
-    answer.set_deflated_records(snapshot.deflated);
-    answer.set_inflated_size(snapshot.inflated_size);
+  if (page.records.size() >= kLongPage) {
+    const Deflated& deflated = DeflatedPage(cache, ask, std::move(page));
+    answer.set_deflated_records(deflated.records);
+    answer.set_inflated_size(deflated.inflated_size);
   } else {
     answer = RecordsOf(std::move(page));
   }
@@ -150,6 +141,22 @@
   return answer;
 }
 
+const LogServer::Deflated& LogServer::DeflatedPage(const LogCache& cache,
+                                                   const LogAsk& ask,
+                                                   LogPage page) {
+  DeflatedPages& pages = deflated_[ask.topic()];
+  if (pages.revision != cache.revision()) {
+    pages.by_offset.clear();
+    pages.revision = cache.revision();
+  }
+  auto [known, is_new] = pages.by_offset.try_emplace(ask.from());
+  if (is_new) {
+    std::string records = RecordsOf(std::move(page)).SerializeAsString();
+    known->second = {Deflate(records), records.size()};
+  }
+  return known->second;
+}
+
 size_t LogServer::BytesOnTheWay() {
   size_t bytes = 0;
   for (auto it = on_the_way_.begin(); it != on_the_way_.end();) {
--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -4,8 +4,9 @@
 // offset. Otherwise it is held until this box has read the topic again, which
 // is news too: it proves that nothing has changed up to then.
 //
-// A whole topic is long. It is deflated once for all that ask for it, and only
-// so many answers are on their way at a time that they fit into memory.
+// Many records, such as a whole topic, are deflated once for all that ask for
+// them. Only so many answers with whole topics are on their way at a time that
+// they fit into memory.
 //
 //   LogServer server(&loop);
 //   server.Share("boxes", follower.cache());
@@ -55,12 +56,15 @@
     bool answered = false;
   };
 
-  // All records of a topic, as they are sent.
-  struct Snapshot {
-    uint64_t revision = 0;  // of the cache
-    std::string deflated;
+  // Many records of a topic, as they are sent.
+  struct Deflated {
+    std::string records;
     uint64_t inflated_size = 0;
   };
+  struct DeflatedPages {
+    uint64_t revision = 0;                   // of the cache
+    std::map<uint64_t, Deflated> by_offset;  // that they begin at
+  };
 
   void Handle(const std::shared_ptr<ServerExchange>& exchange);
   void Hold(const std::shared_ptr<ServerExchange>& exchange, const LogAsk& ask);
@@ -68,6 +72,8 @@
               const LogAsk& ask);
   LogAnswer AnswerOf(const LogCache& cache, const LogAsk& ask,
                      TimePoint received);
+  const Deflated& DeflatedPage(const LogCache& cache, const LogAsk& ask,
+                               LogPage page);
   // Sends what waits, as far as it fits.
   void SendWaiting();
   size_t BytesOnTheWay();
@@ -79,7 +85,7 @@
   std::map<std::string, LogCache*> caches_;  // by topic
   std::map<std::string, std::function<bool(const std::string&)>> receivers_;
   std::list<std::shared_ptr<HeldAsk>> held_;
-  std::map<std::string, Snapshot> snapshots_;              // by topic
+  std::map<std::string, DeflatedPages> deflated_;          // by topic
   std::list<std::shared_ptr<ServerExchange>> on_the_way_;  // long answers
   std::deque<std::pair<std::shared_ptr<ServerExchange>, LogAsk>> waiting_;
   boost::asio::steady_timer send_;
--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -15,6 +15,7 @@
 #include "daemon/log_server.h"
 #include "daemon/topic_follower.h"
 #include "leverwick/result.h"
+#include "net/http_call.h"
 #include "net/testing/collected_answer.h"
 #include "net/testing/free_port.h"
 #include "net/testing/raw_peer.h"
@@ -213,6 +214,63 @@
   CHECK(pair.other_way.calls == 0);
 }
 
+// What a box sends to another one that asks from an offset on.
+LogAnswer AskBox(boost::asio::io_context* loop, const std::string& address,
+                 uint64_t from, size_t* bytes) {
+  LogAsk ask;
+  ask.set_topic(kTopic);
+  ask.set_from(from);
+  std::string body = ask.SerializeAsString();
+  HttpHead head;
+  head.method = "POST";
+  head.target = "/log";
+  head.Set("Host", address);
+  head.Set("Content-Length", std::to_string(body.size()));
+  HttpConnections connections(loop, HttpConnectionsOptions());
+  LogAnswer answer;
+  bool answered = false;
+  HttpCall::Start(loop, &connections, address, RequestText(head) + body,
+                  milliseconds(5000),
+                  [&](std::error_code error, int, const std::string& text) {
+                    CHECK_FALSE(error);
+                    *bytes = text.size();
+                    CHECK(answer.ParseFromString(text));
+                    answered = true;
+                  });
+  REQUIRE(RunUntil(loop, [&] { return answered; }));
+  return answer;
+}
+
+TEST_CASE("many records are sent in few bytes, whatever they begin at") {
+  Pair pair;
+  std::string value(300, 'v');
+  pair.Put("first", value);
+  for (int i = 0; i < 500; ++i) pair.Put("k" + std::to_string(i), value);
+  REQUIRE(RunUntil(&pair.loop,
+                   [&] { return pair.reader->told.state.count("k499") > 0; }));
+  for (uint64_t from : {0, 1}) {
+    size_t bytes = 0;
+    LogAnswer answer =
+        AskBox(&pair.loop, pair.reader_self.address, from, &bytes);
+    CHECK(answer.kind() == LogAnswer::PAGE);
+    CHECK(bytes < 500 * value.size() / 5);
+    CHECK(answer.inflated_size() > 500 * value.size());
+  }
+}
+
+TEST_CASE("many changes at once reach the other boxes") {
+  Pair pair;
+  for (int i = 0; i < 500; ++i) pair.Put("k" + std::to_string(i), "1");
+  for (int i = 0; i < 500; i += 2) {
+    pair.Put("k" + std::to_string(i), std::nullopt);
+  }
+  REQUIRE(RunUntil(&pair.loop,
+                   [&] { return pair.second.told.state["k498"] == "-"; }));
+  CHECK(pair.second.told.state["k0"] == "-");
+  CHECK(pair.second.told.state["k499"] == "1");
+  CHECK(pair.second.told.state.size() >= 500);
+}
+
 TEST_CASE("a box whose reader has lost the store turns to the store itself") {
   Pair pair;
   pair.store.away = true;
