--- a/daemon/log_boxes.cc
+++ b/daemon/log_boxes.cc
@@ -106,6 +106,7 @@
   std::vector<LogBox> boxes;
   for (const auto& box : boxes_) boxes.push_back(box.second);
   log_->SetBoxes(boxes);
+  log_->SetFirstBoxes(FirstBoxes(), fleet_.size() + 1);
   TellFleet();
   TimePoint now = Clock::now();
   fleet_start_.RecordList(fleet_.size() + 1, entered_, now);
@@ -115,6 +116,20 @@
       std::chrono::duration_cast<milliseconds>(fleet_start_.ReadInterval(now)));
 }
 
+std::vector<LogBox> LogBoxes::FirstBoxes() const {
+  std::map<std::string, LogBox> first = {{data_centre_, self_}};
+  for (const auto& [name, box] : fleet_) {
+    LogBox candidate{name, box.address, box.capacity};
+    auto [known, is_new] = first.emplace(box.data_centre, candidate);
+    if (!is_new && RanksBefore(candidate, known->second)) {
+      known->second = candidate;
+    }
+  }
+  std::vector<LogBox> boxes;
+  for (const auto& [data_centre, box] : first) boxes.push_back(box);
+  return boxes;
+}
+
 void LogBoxes::TellFleet() {
   if (!on_fleet_) return;
   std::vector<FleetBox> fleet;
@@ -133,7 +148,8 @@
     return;
   }
   if (record.key != self_.name) {
-    fleet_[record.key] = {record.key, entry.data_centre(), entry.address()};
+    fleet_[record.key] = {record.key, entry.data_centre(), entry.address(),
+                          entry.capacity()};
   }
   if (entry.data_centre() != data_centre_) return;
   boxes_[record.key] = {record.key, entry.address(), entry.capacity()};
--- a/daemon/log_boxes.h
+++ b/daemon/log_boxes.h
@@ -32,6 +32,7 @@
   std::string name;
   std::string data_centre;
   std::string address;  // ip:port at which other boxes reach it
+  double capacity = 1;
 };
 
 class LogBoxes : private TopicFollower::Listener {
@@ -69,6 +70,8 @@
 
   void Learn(const KeyedRecord& record);
   void TellFleet();
+  // The box of each data centre that the others of it read from.
+  std::vector<LogBox> FirstBoxes() const;
   // Tells that the list is complete, once it is.
   void CheckSettled(TimePoint now);
   // Writes the own entry if that is due.
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -43,6 +43,13 @@
 // For each so many boxes of the data centre, the pause after a failed call of
 // such a box is as long again.
 constexpr size_t kBoxesPerPause = 50;
+// Boxes from which on one of them reads some topics from the store for all data
+// centres. What thousands of endpoints write comes to megabytes a second for
+// each reader.
+constexpr size_t kLargeFleet = 250;
+// Of the age that an answer may have, where a box of another data centre gives
+// it.
+constexpr double kRemoteAgeShare = 0.7;
 // Of what another box passes on in one answer.
 constexpr uint64_t kMaxInflated = 256UL << 20;
 
@@ -101,6 +108,25 @@
   for (auto& topic : topics_) topic.second.sources.SetBoxes(boxes_);
 }
 
+void SharedLog::SetFirstBoxes(const std::vector<LogBox>& first_boxes,
+                              size_t boxes) {
+  first_boxes_.clear();
+  if (boxes >= kLargeFleet) first_boxes_ = first_boxes;
+  for (auto& topic : topics_) {
+    topic.second.fleet_sources.SetBoxes(first_boxes_);
+  }
+}
+
+std::optional<SharedLog::Source> SharedLog::ChooseSource(
+    const std::string& topic, TimePoint now) {
+  TopicState* state = StateOf(topic);
+  if (auto box = state->sources.ChooseSource(now)) return Source{*box, false};
+  if (fleet_topics_.count(topic) == 0) return std::nullopt;
+  auto box = state->fleet_sources.ChooseSource(now);
+  if (!box) return std::nullopt;
+  return Source{*box, true};
+}
+
 std::vector<std::string> SharedLog::LostFor(nanoseconds span,
                                             TimePoint now) const {
   std::vector<std::string> lost;
@@ -116,9 +142,10 @@
 SharedLog::TopicState* SharedLog::StateOf(const std::string& topic) {
   auto it = topics_.find(topic);
   if (it == topics_.end()) {
-    it = topics_.emplace(topic, TopicState{ReadSources(self_, readers_), {}})
-             .first;
+    TopicState state{ReadSources(self_, readers_), ReadSources(self_, 1)};
+    it = topics_.emplace(topic, std::move(state)).first;
     it->second.sources.SetBoxes(boxes_);
+    it->second.fleet_sources.SetBoxes(first_boxes_);
   }
   return &it->second;
 }
@@ -135,17 +162,23 @@
 
 void SharedLog::ReadFrom(const LogQuery& query, int boxes,
                          ReadCallback callback) {
-  auto box = StateOf(query.topic)->sources.ChooseSource(Clock::now());
-  if (!box || boxes == 0) return ReadStore(query, std::move(callback));
+  auto source = ChooseSource(query.topic, Clock::now());
+  if (!source || boxes == 0) return ReadStore(query, std::move(callback));
+  LogQuery shared = query;
+  // A box that others read from turns elsewhere before these lose patience.
+  if (source->is_remote) {
+    shared.max_age = std::chrono::duration_cast<milliseconds>(query.max_age *
+                                                              kRemoteAgeShare);
+  }
   LogAsk ask;
   ask.set_from(query.from);
-  ask.set_wait_ms(static_cast<uint32_t>(HoldOf(query).count()));
+  ask.set_wait_ms(static_cast<uint32_t>(HoldOf(shared).count()));
   auto answered = [this, query, boxes, callback](std::error_code error,
                                                  LogPage page) {
     if (IsForAnother(error)) return ReadFrom(query, boxes - 1, callback);
     callback(error, std::move(page));
   };
-  Ask(*box, query, ask, answered);
+  Ask(source->box, shared, ask, answered);
 }
 
 bool SharedLog::MayReadStore(TopicState* state) {
@@ -183,6 +216,7 @@
 
 void SharedLog::StoreFailed(TopicState* state, std::error_code error) {
   state->sources.ClearStale();
+  state->fleet_sources.ClearStale();
   // This box is cut off: its attempts are no calls of the store's, and the end
   // of the cut is to be noticed at once.
   if (error == Result::kNoConnection) return;
@@ -202,9 +236,9 @@
                                NewestCallback callback) {
   TopicState* state = StateOf(query.topic);
   bool is_shared = query.max_age.count() > 0 && after_key.empty();
-  auto box = state->sources.ChooseSource(Clock::now());
+  auto source = ChooseSource(query.topic, Clock::now());
   if (!is_shared) return store_->ReadNewest(query, after_key, callback);
-  if (!box || boxes == 0) {
+  if (!source || boxes == 0) {
     if (MayReadStore(state)) {
       return store_->ReadNewest(query, after_key, callback);
     }
@@ -224,7 +258,7 @@
     if (!error) state->as_of = std::max(state->as_of, page.as_of);
     callback(error, {std::move(page.records), false, page.end, page.as_of});
   };
-  Ask(*box, query, ask, answered);
+  Ask(source->box, query, ask, answered);
 }
 
 milliseconds SharedLog::HoldOf(const LogQuery& query) {
@@ -303,6 +337,7 @@
                 1);
   if (!IsForAnother(error)) {
     state->falls_back = false;
+    state->fleet_sources.RecordReply(box.name);
     return state->sources.RecordReply(box.name);
   }
   kLog.Info(
@@ -311,8 +346,10 @@
   bool silent = error == Result::kUnreachable || error == Result::kNoConnection;
   if (silent) {
     state->sources.RecordUnreachable(box.name, Clock::now());
+    state->fleet_sources.RecordUnreachable(box.name, Clock::now());
   } else {
     state->sources.RecordStale(box.name, Clock::now());
+    state->fleet_sources.RecordStale(box.name, Clock::now());
   }
 }
 
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -16,7 +16,9 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -40,9 +42,17 @@
   // Boxes that were asked and have answered nothing for `span`.
   std::vector<std::string> LostFor(nanoseconds span, TimePoint now) const;
 
+  // The first box of each data centre, this one's among them, in a fleet of
+  // `boxes`. In a large fleet they read the topics of ShareAcrossFleet from
+  // each other, so that one box reads these from the store for all.
+  void SetFirstBoxes(const std::vector<LogBox>& first_boxes, size_t boxes);
+  void ShareAcrossFleet(const std::string& topic) {
+    fleet_topics_.insert(topic);
+  }
+
   // Whether this box would now read the topic from the store.
   bool ReadsStore(const std::string& topic) {
-    return !StateOf(topic)->sources.ChooseSource(Clock::now());
+    return !ChooseSource(topic, Clock::now());
   }
 
   void Read(const LogQuery& query, ReadCallback callback) override;
@@ -56,8 +66,9 @@
  private:
   // How one topic is read: a box may know one and not another.
   struct TopicState {
-    ReadSources sources;
-    TimePoint as_of{};  // of the newest answer
+    ReadSources sources;        // in this data centre
+    ReadSources fleet_sources;  // the first boxes of all
+    TimePoint as_of{};          // of the newest answer
     // No call to the store before this, unless this box is a reader.
     TimePoint store_from{};
     // Boxes that read for this one did not answer; its turn at the store is
@@ -65,7 +76,15 @@
     bool falls_back = false;
   };
 
+  // Another box to read from.
+  struct Source {
+    LogBox box;
+    bool is_remote = false;  // of another data centre
+  };
+
   TopicState* StateOf(const std::string& topic);
+  // The box to read a topic from; nothing: the store.
+  std::optional<Source> ChooseSource(const std::string& topic, TimePoint now);
   // Asks at most so many boxes before the store.
   void ReadFrom(const LogQuery& query, int boxes, ReadCallback callback);
   void ReadNewestFrom(const LogQuery& query, const std::string& after_key,
@@ -96,6 +115,8 @@
   Metrics* const metrics_;
   HttpConnections connections_;
   std::vector<LogBox> boxes_;
+  std::vector<LogBox> first_boxes_;  // empty unless the fleet is large
+  std::set<std::string> fleet_topics_;
   std::map<std::string, TopicState> topics_;
   const TimePoint started_;
   std::mt19937 random_;
--- a/leverwick/read_sources.cc
+++ b/leverwick/read_sources.cc
@@ -16,13 +16,13 @@
 constexpr nanoseconds kMinBackoff = std::chrono::seconds(1);
 constexpr nanoseconds kMaxBackoff = std::chrono::seconds(16);
 
+}  // namespace
+
 bool RanksBefore(const LogBox& a, const LogBox& b) {
   if (a.capacity != b.capacity) return a.capacity > b.capacity;
   return a.name < b.name;
 }
 
-}  // namespace
-
 void ReadSources::SetBoxes(std::vector<LogBox> boxes) {
   preferred_boxes_.clear();
   std::set<std::string> names;
--- a/leverwick/read_sources.h
+++ b/leverwick/read_sources.h
@@ -32,6 +32,9 @@
   double capacity = 1;
 };
 
+// The order in which boxes are preferred as readers.
+bool RanksBefore(const LogBox& a, const LogBox& b);
+
 class ReadSources {
  public:
   // `max_readers` is the number of boxes of the data centre that read the
