A box that starts with its fleet enters itself at a random moment and reads the list after that

Cause: all boxes appended their entries within 0.3 s, so that of 1,000 two thirds waited for longer in the store's queue than a call may take, and wrote their entries twice; 0.7 s later all of them read the list at once over new connections. Change: entries are spread over 2 s; the list is read when the own one has been answered; while it grows each 0.6 s. The simulation gives calls up after 0.9 s. The pauses of before are held against a store that is away for 5 s: without an outage they come through in the simulation.

--- a/daemon/log_boxes.cc
+++ b/daemon/log_boxes.cc
@@ -45,19 +45,19 @@
       own_entry_(EntryOf(self_, data_centre_)),
       follower_(loop, log, {topic_, milliseconds(0), kInterval, kMostAge},
                 this),
-      start_(*loop),
-      fleet_start_(false, Clock::now()),
+      fleet_start_(false, Clock::now(), 0),
       random_(std::random_device{}()) {}
 
 void LogBoxes::Start(bool first_start, std::function<void()> ready) {
   ready_ = std::move(ready);
   TimePoint now = Clock::now();
-  fleet_start_ = FleetStart(first_start, now);
-  EnterSelf(now);
-  start_.expires_at(fleet_start_.first_read_at());
-  start_.async_wait([this](auto error) {
-    if (!error) follower_.Start();
-  });
+  double draw = std::uniform_real_distribution<>(0, 1)(random_);
+  fleet_start_ = FleetStart(first_start, now, draw);
+  StartReading();
+}
+
+void LogBoxes::StartReading() {
+  if (fleet_start_.MayReadList()) follower_.Start();
 }
 
 void LogBoxes::CheckSettled(TimePoint now) {
@@ -160,6 +160,7 @@
   log_->Append(topic_, own_entry_, std::nullopt, [this](std::error_code error) {
     double draw = std::uniform_real_distribution<>(0, 1)(random_);
     fleet_start_.RecordAppend(!error, draw, Clock::now());
+    StartReading();
     if (!error) return;
     kLog.Warning("This box's entry was not written.",
                  {{"why", error.message()}});
--- a/daemon/log_boxes.h
+++ b/daemon/log_boxes.h
@@ -12,7 +12,6 @@
 #define DAEMON_LOG_BOXES_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
@@ -74,6 +73,8 @@
   std::vector<LogBox> FirstBoxes() const;
   // Tells that the list is complete, once it is.
   void CheckSettled(TimePoint now);
+  // Begins to read the list once that is due.
+  void StartReading();
   // Writes the own entry if that is due.
   void EnterSelf(TimePoint now);
   void Drop(const std::string& name);
@@ -84,7 +85,6 @@
   const std::string topic_;
   const KeyedRecord own_entry_;
   TopicFollower follower_;
-  boost::asio::steady_timer start_;
   std::function<void()> ready_;
   std::map<std::string, LogBox> boxes_;    // of this data centre, by name
   std::map<std::string, FleetBox> fleet_;  // all but this one, by name
--- a/leverwick/fleet_start.cc
+++ b/leverwick/fleet_start.cc
@@ -9,9 +9,9 @@
 namespace leverwick {
 namespace {
 
-// Boxes of a fleet start within a third of a second; the first entries have
-// been written by then.
-constexpr milliseconds kFirstRead{700};
+// Over which the boxes of a fleet that starts append their entries. As long as
+// a call may wait in the store's queue, which then takes twice as many.
+constexpr milliseconds kEntrySpread{2000};
 // A store that has just refused a call recovers within seconds. The longest
 // pause is what a box waits at most after the store is back.
 constexpr milliseconds kFirstPause{500};
@@ -22,20 +22,19 @@
 // Beyond it a box goes on with the list that it has.
 constexpr std::chrono::seconds kLongestWait{10};
 // Between two reads of the list while it grows.
-constexpr milliseconds kGrowingInterval{400};
+constexpr milliseconds kGrowingInterval{600};
 
 }  // namespace
 
-FleetStart::FleetStart(bool is_first_start, TimePoint started)
+FleetStart::FleetStart(bool is_first_start, TimePoint started, double draw)
     : is_first_start_(is_first_start),
       started_(started),
       append_pause_(kFirstPause, kLongestPause),
       read_pause_(kFirstPause, kLongestPause),
-      append_at_(is_first_start ? started : TimePoint::max()) {}
-
-TimePoint FleetStart::first_read_at() const {
-  return is_first_start_ ? started_ + kFirstRead : started_;
-}
+      append_at_(is_first_start
+                     ? started + FromSeconds(ToSeconds(kEntrySpread) * draw)
+                     : TimePoint::max()),
+      may_read_(!is_first_start) {}
 
 bool FleetStart::TakeAppend(TimePoint now) {
   if (appending_ || now < append_at_) return false;
@@ -46,6 +45,7 @@
 
 void FleetStart::RecordAppend(bool succeeded, double draw, TimePoint now) {
   appending_ = false;
+  may_read_ = true;
   if (succeeded) {
     append_pause_.Reset();
     retry_wait_ = nanoseconds(0);
--- a/leverwick/testing/fleet_start_simulation.h
+++ b/leverwick/testing/fleet_start_simulation.h
@@ -46,7 +46,7 @@
 class StartPolicy {
  public:
   virtual ~StartPolicy() = default;
-  virtual TimePoint first_read_at() const = 0;
+  virtual bool MayReadList(TimePoint now) const = 0;
   virtual bool TakeAppend(TimePoint now) = 0;
   virtual void RecordAppend(bool succeeded, double draw, TimePoint now) = 0;
   virtual void RecordList(size_t boxes, bool lists_self, TimePoint now) = 0;
@@ -59,7 +59,8 @@
 
 class FleetStartSimulation {
  public:
-  using NewPolicy = std::function<std::unique_ptr<StartPolicy>(TimePoint)>;
+  using NewPolicy =
+      std::function<std::unique_ptr<StartPolicy>(TimePoint, double draw)>;
 
   FleetStartSimulation(const FleetStartScenario& scenario, uint64_t seed,
                        NewPolicy new_policy)
@@ -92,6 +93,7 @@
   static constexpr std::chrono::seconds kLimit{60};
   static constexpr milliseconds kAppendTime{4};
   static constexpr milliseconds kAnswerTime{4};
+  static constexpr milliseconds kCallTime{900};  // then a call is given up
   static constexpr std::chrono::seconds kLongestQueue{2};
 
   struct Box {
@@ -130,10 +132,15 @@
     box.is_ready = box.reads_topic = false;
     box.knows.assign(boxes_.size(), false);
     box.known = 0;
-    box.policy = new_policy_(at);
+    box.policy = new_policy_(at, Draw());
     AtBox(at, index, [this, index] { Append(index); });
-    AtBox(box.policy->first_read_at(), index,
-          [this, index] { ReadList(index); });
+    AtBox(at, index, [this, index] { BeginToRead(index); });
+  }
+
+  void BeginToRead(size_t index) {
+    if (boxes_[index].policy->MayReadList(now_)) return ReadList(index);
+    AtBox(now_ + milliseconds(20), index,
+          [this, index] { BeginToRead(index); });
   }
 
   bool IsAway() const {
@@ -158,9 +165,13 @@
       done = append_free_;
       At(done, [this, index] { boxes_[index].is_listed = true; });
     }
-    AtBox(done, index, [this, index, fails] {
-      boxes_[index].policy->RecordAppend(!fails, Draw(), now_);
-    });
+    // The caller gives up before the store does, which writes the entry later.
+    bool is_given_up = done - now_ > kCallTime;
+    AtBox(std::min(done, now_ + kCallTime), index,
+          [this, index, fails, is_given_up] {
+            bool succeeds = !fails && !is_given_up;
+            boxes_[index].policy->RecordAppend(succeeds, Draw(), now_);
+          });
   }
 
   // Bytes of all reads share one rate; too many reads a second are refused.
@@ -177,8 +188,9 @@
     read_free_ = std::max(read_free_, now_) +
                  FromSeconds(bytes / scenario_.read_bytes_per_second);
     *done = std::max(*done, read_free_);
-    // The caller gives up.
-    return *done - now_ < milliseconds(900);
+    bool is_given_up = *done - now_ > kCallTime;
+    *done = std::min(*done, now_ + kCallTime);
+    return !is_given_up;
   }
 
   // Whether another box of the data centre that the box knows reads for it.
@@ -279,8 +291,9 @@
 // FleetStart as a policy.
 class FleetStartPolicy : public StartPolicy {
  public:
-  explicit FleetStartPolicy(TimePoint started) : start_(true, started) {}
-  TimePoint first_read_at() const override { return start_.first_read_at(); }
+  FleetStartPolicy(TimePoint started, double draw)
+      : start_(true, started, draw) {}
+  bool MayReadList(TimePoint) const override { return start_.MayReadList(); }
   bool TakeAppend(TimePoint now) override { return start_.TakeAppend(now); }
   void RecordAppend(bool succeeded, double draw, TimePoint now) override {
     start_.RecordAppend(succeeded, draw, now);
@@ -305,8 +318,8 @@
 class EagerStartPolicy : public StartPolicy {
  public:
   explicit EagerStartPolicy(TimePoint started) : started_(started) {}
-  TimePoint first_read_at() const override {
-    return started_ + milliseconds(700);
+  bool MayReadList(TimePoint now) const override {
+    return now >= started_ + milliseconds(700);
   }
   bool TakeAppend(TimePoint) override {
     bool is_due = append_due_;
--- a/leverwick/testing/fleet_start_test.cc
+++ b/leverwick/testing/fleet_start_test.cc
@@ -10,11 +10,11 @@
 constexpr TimePoint kStart = TimePoint{} + std::chrono::hours(1);
 
 FleetStartResult Play(const FleetStartScenario& scenario, uint64_t seed = 1) {
-  return FleetStartSimulation(
-             scenario, seed,
-             [](TimePoint started) {
-               return std::make_unique<FleetStartPolicy>(started);
-             })
+  return FleetStartSimulation(scenario, seed,
+                              [](TimePoint started, double draw) {
+                                return std::make_unique<FleetStartPolicy>(
+                                    started, draw);
+                              })
       .Run();
 }
 
@@ -61,8 +61,10 @@
 
 TEST_CASE("retries without back-off overload the store for good") {
   FleetStartScenario scenario;
+  scenario.away_from = milliseconds(500);
+  scenario.away_for = milliseconds(5000);
   FleetStartResult result =
-      FleetStartSimulation(scenario, 1, [](TimePoint started) {
+      FleetStartSimulation(scenario, 1, [](TimePoint started, double) {
         return std::make_unique<EagerStartPolicy>(started);
       }).Run();
   CAPTURE(result.bytes);
@@ -73,8 +75,8 @@
 }
 
 TEST_CASE("a box that starts among others goes on at once") {
-  FleetStart start(false, kStart);
-  CHECK(start.first_read_at() == kStart);
+  FleetStart start(false, kStart, 0.5);
+  CHECK(start.MayReadList());
   CHECK_FALSE(start.TakeAppend(kStart));
   start.RecordList(5, false, kStart + milliseconds(10));
   CHECK(start.IsSettled(kStart + milliseconds(10)));
@@ -94,6 +96,15 @@
   CHECK(start.TakeAppend(kStart + std::chrono::seconds(61)));
 }
 
+TEST_CASE("on a first start the list is read when the entry was appended") {
+  FleetStart start(true, kStart, 0.5);
+  CHECK_FALSE(start.TakeAppend(kStart + milliseconds(999)));
+  CHECK(start.TakeAppend(kStart + milliseconds(1000)));
+  CHECK_FALSE(start.MayReadList());
+  start.RecordAppend(false, 0.5, kStart + milliseconds(1004));
+  CHECK(start.MayReadList());
+}
+
 TEST_CASE("pauses grow to a bound and begin anew after a success") {
   RetryPause pause(milliseconds(500), milliseconds(3000));
   CHECK(pause.Next(1) == milliseconds(500));
