--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "net/log.h"
-#include "net/tcp_connection.h"
 
 namespace leverwick {
 namespace {
@@ -108,22 +107,15 @@
 }
 
 void EndpointEnds::Probe(const std::string& endpoint, TimePoint broke_at) {
-  boost::asio::ip::tcp::endpoint address;
-  if (!ParseAddress(directory_->Find(endpoint)->address, &address)) {
+  auto probed = [this, endpoint, broke_at](std::error_code error, auto tcp) {
     suspected_.erase(endpoint);
-    kLog.Error("An endpoint's address can't be read.",
-               {{"endpoint", endpoint}});
-    return;
-  }
-  ConnectTcp(loop_, address, kProbeTime,
-             [this, endpoint, broke_at](std::error_code error, auto tcp) {
-               suspected_.erase(endpoint);
-               if (tcp != nullptr) tcp->Close();
-               // No answer at all is what a cut or a lost packet looks like.
-               if (error != std::errc::connection_refused) return;
-               Tell(endpoint, broke_at,
-                    runs_.TakeCrashSuspects(endpoint, broke_at));
-             });
+    if (tcp != nullptr) tcp->Close();
+    // No answer at all is what a cut or a lost packet looks like.
+    if (error != std::errc::connection_refused) return;
+    Tell(endpoint, broke_at, runs_.TakeCrashSuspects(endpoint, broke_at));
+  };
+  connections_->Connect(directory_->Find(endpoint)->address, kProbeTime,
+                        probed);
 }
 
 void EndpointEnds::Refused(const std::string& endpoint, TimePoint now) {
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -193,33 +193,41 @@
   call->observer_ = observer;
   auto connection = TakeIdle(address);
   if (connection == nullptr) {
-    Connect(address, call);
+    SendOnNewConnection(address, call);
   } else {
     connection->Begin(call);
   }
   return call;
 }
 
-void HttpConnections::Connect(const std::string& address,
-                              const std::shared_ptr<ClientCall>& call) {
-  auto fail = [call](std::error_code error) {
-    if (!call->aborted_) call->observer_->OnCallFailed({error, false, false});
-  };
+void HttpConnections::Connect(const std::string& address, milliseconds limit,
+                              const ConnectCallback& callback) {
   boost::asio::ip::tcp::endpoint endpoint;
   if (!ParseAddress(address, &endpoint)) {
-    boost::asio::post(*loop_, [fail] { fail(Result::kUnreachable); });
+    boost::asio::post(*loop_,
+                      [callback] { callback(Result::kUnreachable, nullptr); });
     return;
   }
+  options_.connect(loop_, endpoint, limit, callback);
+}
+
+void HttpConnections::SendOnNewConnection(
+    const std::string& address, const std::shared_ptr<ClientCall>& call) {
   ++opened_;
-  ConnectTcp(loop_, endpoint, options_.connect_timeout,
-             [this, call, address, fail](std::error_code error, auto tcp) {
-               if (error) return fail(error);
-               if (call->aborted_) return tcp->Close();
-               auto connection = std::make_shared<ClientConnection>(
-                   this, address, std::move(tcp));
-               connection->Start();
-               connection->Begin(call);
-             });
+  Connect(address, options_.connect_timeout,
+          [this, call, address](std::error_code error, auto tcp) {
+            if (call->aborted_) {
+              if (tcp != nullptr) tcp->Close();
+              return;
+            }
+            if (error) {
+              return call->observer_->OnCallFailed({error, false, false});
+            }
+            auto connection = std::make_shared<ClientConnection>(
+                this, address, std::move(tcp));
+            connection->Start();
+            connection->Begin(call);
+          });
 }
 
 std::shared_ptr<ClientConnection> HttpConnections::TakeIdle(
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -75,6 +75,7 @@
   milliseconds idle_time{10000};
   size_t max_idle_each = 64;  // kept connections to one address
   HttpReader::Limits answer_limits{64UL * 1024, 256UL << 20};
+  ConnectFunction connect = ConnectTcp;
 };
 
 class HttpConnections {
@@ -94,6 +95,11 @@
     rest_closed_ = std::move(callback);
   }
 
+  // Opens a connection that carries no request. The error is kUnreachable if
+  // the address can't be read.
+  void Connect(const std::string& address, milliseconds limit,
+               const ConnectCallback& callback);
+
   uint64_t opened() const { return opened_; }
   size_t idle() const;
   // Whether a connection to the address is open and at rest.
@@ -106,8 +112,8 @@
   void Keep(const std::shared_ptr<ClientConnection>& connection);
   void DropIdle(ClientConnection* connection);
   void RestClosed(ClientConnection* connection);
-  void Connect(const std::string& address,
-               const std::shared_ptr<ClientCall>& call);
+  void SendOnNewConnection(const std::string& address,
+                           const std::shared_ptr<ClientCall>& call);
 
   boost::asio::io_context* const loop_;
   const HttpConnectionsOptions options_;
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -87,6 +87,10 @@
 void ConnectTcp(boost::asio::io_context* loop,
                 const boost::asio::ip::tcp::endpoint& address,
                 milliseconds limit, ConnectCallback callback);
+using ConnectFunction =
+    std::function<void(boost::asio::io_context* loop,
+                       const boost::asio::ip::tcp::endpoint& address,
+                       milliseconds limit, ConnectCallback callback)>;
 
 // Options of every connection: no delay for small writes, and the kernel's
 // own notice of a peer that fell silent.
