A box that reaches no endpoint forwards its requests to boxes that do

What callers saw: boxes that had lost their paths to all endpoints refused every request (record: 0 of 139 first attempts served, 374 of 376 at the other boxes). Cause: a box had no other way than its own connections, and took their failure for the state of the service. Evidence: each refusal follows six connections that failed within the same 20 ms, while the other boxes are answered by the same endpoints; two tests red on the code before. Six endpoints in a row that accept no connection, three of them by test connections, make a partition; a request whose own connections failed twice, or timed out, is forwarded without. Why it works: the request goes the way that the other boxes' callers have.

--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -64,6 +64,8 @@
 }
 
 void LogServer::Handle(const std::shared_ptr<ServerExchange>& exchange) {
+  auto handler = handlers_.find(exchange->head().target);
+  if (handler != handlers_.end()) return handler->second(exchange);
   auto receiver = receivers_.find(exchange->head().target);
   if (receiver != receivers_.end()) {
     bool is_readable = receiver->second(exchange->body());
--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -44,6 +44,11 @@
                std::function<bool(const std::string& body)> take) {
     receivers_[path] = std::move(take);
   }
+  // Hands the requests at `path` to `handler`, which answers them.
+  void Serve(const std::string& path, AsyncHttpServer::Handler handler) {
+    handlers_[path] = std::move(handler);
+  }
+  void SetLimits(const HttpServerLimits& limits) { server_.SetLimits(limits); }
   std::error_code Listen(const boost::asio::ip::tcp::endpoint& address);
 
   size_t held_asks() const { return held_.size(); }
@@ -84,6 +89,7 @@
   AsyncHttpServer server_;
   std::map<std::string, LogCache*> caches_;  // by topic
   std::map<std::string, std::function<bool(const std::string&)>> receivers_;
+  std::map<std::string, AsyncHttpServer::Handler> handlers_;
   std::list<std::shared_ptr<HeldAsk>> held_;
   std::map<std::string, DeflatedPages> deflated_;          // by topic
   std::list<std::shared_ptr<ServerExchange>> on_the_way_;  // long answers
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -44,6 +44,8 @@
               RemoteCost(options.far_megabyte), options.data_centre,
               options.regions),
       connections_(loop, options.connections),
+      partition_(&pool_, &directory_, &reach_, &connections_, &metrics_),
+      forwarder_(loop, options.life, options.data_centre, &metrics_),
       ends_(loop, &directory_, &rollouts_, &connections_),
       demand_(Clock::now()),
       poison_(options.life),
@@ -144,6 +146,39 @@
 }
 
 void Relay::Handle(const std::shared_ptr<ServerExchange>& exchange) {
+  Serve(exchange, {});
+}
+
+void Relay::HandleForwarded(const std::shared_ptr<ServerExchange>& exchange) {
+  HttpHead head;
+  std::string body;
+  auto origin = DecodeForward(exchange->body(), &head, &body);
+  exchange->Unwrap(std::move(head), std::move(body));
+  if (!origin) {
+    kLog.Error("A forwarded request can't be read.", {});
+    return Refuse(exchange, "", Result::kBadRequest, {});
+  }
+  Result declined =
+      WhyDeclined(*origin, exchange->body().size(), exchange->received());
+  metrics_.Add("leverwick_accepted_forwards_total",
+               std::string("result=\"") + ResultInfoFor(declined).name + "\"",
+               1);
+  if (declined != Result::kOk) return Refuse(exchange, "", declined, {});
+  Serve(exchange, *origin);
+}
+
+Result Relay::WhyDeclined(const ForwardOrigin& origin, size_t body_bytes,
+                          TimePoint now) {
+  if (!forwarder_.takes_requests()) return Result::kStopping;
+  if (config_ == nullptr) return Result::kNotReady;
+  // The caller's box may have shown the newer configuration to its callers.
+  if (config_->version() < origin.config_version) return Result::kStaleTable;
+  bool has_room = forwarder_.admission()->CanAdmit(body_bytes, now);
+  return has_room ? Result::kOk : Result::kOverloaded;
+}
+
+void Relay::Serve(const std::shared_ptr<ServerExchange>& exchange,
+                  const ForwardOrigin& origin) {
   TimePoint now = exchange->received();
   CallerRequest request;
   bool readable = dialect_->ReadRequest(exchange->head(), &request);
@@ -167,7 +202,7 @@
     return Refuse(exchange, request.id, admitted, kComeBackElsewhere);
   }
   auto relayed = std::make_shared<RelayedRequest>(
-      this, exchange, std::move(request), *route, std::move(holder));
+      this, exchange, std::move(request), *route, std::move(holder), origin);
   open_.insert(relayed);
   relayed->Start();
 }
@@ -187,7 +222,11 @@
              {"config",
               config_ == nullptr ? "none" : std::to_string(config_->version())},
              {"proof_age_ms", std::to_string(ProofAge().count())}});
-  exchange->Answer(dialect_->Refusal(result, request_id, come_back_after), "");
+  HttpHead head = dialect_->Refusal(result, request_id, come_back_after);
+  if (exchange->is_unwrapped()) {
+    SetForwardResult({result, come_back_after}, &head);
+  }
+  exchange->Answer(std::move(head), "");
 }
 
 milliseconds Relay::ProofAge() const {
@@ -202,6 +241,8 @@
   slow_start_.Expire(now);
   limits_.Expire(now);
   backoffs_.Expire(now);
+  partition_.Tick(now);
+  forwarder_.Expire(now);
   for (const EndpointRun& run : ends_.TakeSurvived(now)) {
     poison_.RecordSurvivedRun(run, now);
   }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -26,6 +26,8 @@
 #include "daemon/endpoint_directory.h"
 #include "daemon/endpoint_ends.h"
 #include "daemon/limit_watch.h"
+#include "daemon/partition_watch.h"
+#include "daemon/request_forwarder.h"
 #include "daemon/version_watch.h"
 #include "leverwick/endpoint_pool.h"
 #include "leverwick/endpoint_selector.h"
@@ -78,6 +80,8 @@
   ~Relay();
 
   void Handle(const std::shared_ptr<ServerExchange>& exchange);
+  // Serves a request that another box forwards.
+  void HandleForwarded(const std::shared_ptr<ServerExchange>& exchange);
 
   // Replaces the configuration; one that is not newer changes nothing.
   bool SetConfig(ServiceConfig config);
@@ -98,11 +102,13 @@
   PoisonRequests* poison() { return &poison_; }
   EndpointEnds* ends() { return &ends_; }
   ServiceDemand* demand() { return &demand_; }
+  RequestForwarder* forwarder() { return &forwarder_; }
   const VersionWatch* watch() const { return &watch_; }
 
   // A planned stop goes on for too long to begin more work: what comes from
   // now on is told that it has not run.
   void StopIntake() { intake_ = false; }
+  size_t open_requests() const { return open_.size(); }
 
   // As text, with the state of this moment.
   std::string MetricsText();
@@ -124,6 +130,11 @@
  private:
   friend class RelayedRequest;
 
+  void Serve(const std::shared_ptr<ServerExchange>& exchange,
+             const ForwardOrigin& origin);
+  // Why a request that another box forwards can't be served here; kOk: it can.
+  Result WhyDeclined(const ForwardOrigin& origin, size_t body_bytes,
+                     TimePoint now);
   // Answers in the endpoint's stead. `come_back_after` is left out where the
   // result is none that a caller may come back from.
   void Refuse(const std::shared_ptr<ServerExchange>& exchange,
@@ -175,6 +186,8 @@
   const SendEligibility gates_;
   const EndpointSelector choice_;
   HttpConnections connections_;
+  PartitionWatch partition_;
+  RequestForwarder forwarder_;
   EndpointEnds ends_;
   ServiceDemand demand_;
   PoisonRequests poison_;
--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -84,6 +84,7 @@
   stopping_ = true;
   stopped_ = std::move(done);
   stop_began_ = Clock::now();
+  relay_->forwarder()->StopIntake();
   callers_.Drain();
   CheckQuiet();
 }
@@ -91,10 +92,11 @@
 void RelayServer::CheckQuiet() {
   auto took = Clock::now() - stop_began_;
   if (took > options_.intake) relay_->StopIntake();
-  bool quiet = took > kNewConnectionsEnd && callers_.open_requests() == 0 &&
-               callers_.connections() == 0;
+  size_t open = std::max(callers_.open_requests(), relay_->open_requests());
+  bool quiet =
+      took > kNewConnectionsEnd && open == 0 && callers_.connections() == 0;
   if (quiet || took > options_.stop_bound - kEndMargin) {
-    auto cut = static_cast<int>(callers_.open_requests());
+    auto cut = static_cast<int>(open);
     kLog.Info("Planned stop ends.", {{"cut_requests", std::to_string(cut)}});
     return stopped_(cut);
   }
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -33,6 +33,11 @@
 // in this time.
 constexpr milliseconds kComeBackAfter{250};
 
+int MaxAttempts(const ServiceRoute& route, const ForwardOrigin& origin) {
+  int most = std::max(1, route.max_attempts);
+  return origin.box.empty() ? most : std::min(most, origin.max_attempts);
+}
+
 // Whether the endpoint ended the connection, not the way to it.
 bool IsEndpointsOwn(const ClientCall::Failure& failure) {
   return failure.sent &&
@@ -57,39 +62,44 @@
 RelayedRequest::RelayedRequest(Relay* relay,
                                std::shared_ptr<ServerExchange> exchange,
                                CallerRequest request, const ServiceRoute& route,
-                               ApiKeyOwner holder)
+                               ApiKeyOwner holder, ForwardOrigin origin)
     : relay_(relay),
       exchange_(std::move(exchange)),
       request_(std::move(request)),
       config_(relay->config_),
       route_(route),
       holder_(std::move(holder)),
+      origin_(std::move(origin)),
       terms_(&request_, &route_, &holder_),
       service_(PickService(route, relay->Draw())),
       digest_(ComputeRequestDigest({request_.host, exchange_->head().target,
                                     holder_.organisation, exchange_->body()})),
       timer_(*relay->loop_),
-      log_(route.repeatable(), std::max(1, route.max_attempts)) {}
+      log_(route.repeatable(), MaxAttempts(route, origin_)) {}
 
 void RelayedRequest::Start() {
   auto self = shared_from_this();
   milliseconds hold =
       route_.timeout.count() > 0 ? route_.timeout : kLongestHold;
-  if (request_.patience) {
-    hold = std::min(hold, *request_.patience - kReturnTime);
-  }
+  std::optional<milliseconds> patience = request_.patience;
+  if (is_forwarded()) patience = origin_.time_left;
+  if (patience) hold = std::min(hold, *patience - kReturnTime);
   deadline_ = exchange_->received() + hold;
   timer_.expires_at(deadline_);
   timer_.async_wait([self](auto error) {
     if (!error) self->OnTimeUp();
   });
   exchange_->OnLeft([self] { self->OnCallerLeft(); });
-  exchange_->OnDrained([self] {
-    if (self->try_ && self->try_->call) self->try_->call->ResumeReading();
-  });
+  exchange_->OnDrained([self] { self->ResumeReading(); });
+  if (is_forwarded()) {
+    relay_->forwarder_.admission()->RecordStart(exchange_->body().size());
+  }
   relay_->BudgetOf(service_)->RecordRequest();
-  side_ =
-      relay_->rollouts_.SideFor(service_, terms_.session_or_id(), Clock::now());
+  side_ = origin_.side;
+  if (side_ == ServiceRollouts::Side::kAny) {
+    side_ = relay_->rollouts_.SideFor(service_, terms_.session_or_id(),
+                                      Clock::now());
+  }
   relay_->rollouts_.RecordRequestStart(service_, request_.session,
                                        Clock::now());
   if (request_.any_model) {
@@ -169,6 +179,10 @@
 
 void RelayedRequest::SendOrWait() {
   if (finished_) return;
+  if (PrefersForwarding()) {
+    if (Forward()) return;
+    if (!MayTryEndpoint()) return AnswerUnreached(Result::kNoEndpoint);
+  }
   TimePoint now = Clock::now();
   bool is_asking = AskForPermit(now);
   std::string chosen = ChooseEndpoint(model_);
@@ -183,6 +197,11 @@
   if (endpoint != nullptr) return SendTo(*endpoint);
   Result why = relay_->choice_.ReasonForNone(Wanted(model_), now);
   if (why != Result::kNoEndpoint) TellUnavailable(why, now);
+  if (why == Result::kNoEndpoint && Forward()) return;
+  AnswerUnreached(why);
+}
+
+void RelayedRequest::AnswerUnreached(Result why) {
   if (stream_started_) return BreakStream("stream_broken");
   if (!log_.may_have_run()) return AnswerNotRun(why);
   AnswerFailure(Result::kUnknownOutcome);
@@ -233,7 +252,7 @@
 std::string RelayedRequest::RequestFor(const DirectoryEntry& endpoint) const {
   EndpointOrder order =
       terms_.OrderFor(endpoint.id, model_, TimeLeft(Clock::now()));
-  order.last_event_id = events_.last_id();
+  order.last_event_id = LastEventId();
   HttpHead head = relay_->dialect_->ToEndpoint(exchange_->head(), order);
   const std::string& body = exchange_->body();
   bool has_body = !body.empty() || exchange_->head().has_length;
@@ -253,6 +272,7 @@
   try_->answer = answer;
   try_->head = head;
   relay_->Heard(*try_);
+  relay_->partition_.Contacted(service_);
   if (!answer.not_run && !answer.other_endpoint) NoteRun();
   try_->streams =
       answer.succeeded() && answer.signed_whole && answer.event_stream;
@@ -305,7 +325,7 @@
 }
 
 void RelayedRequest::NoteStream(bool whole) {
-  if (!stream_started_ || resumed_) return;
+  if (!stream_started_ || resumed_ || forward_) return;
   TimePoint now = Clock::now();
   relay_->escalation_.RecordStream(
       {terms_.KindOf(model_), events_.event_count(), now - first_event_at_,
@@ -329,25 +349,34 @@
 
 void RelayedRequest::OnAnswerBody(std::string_view bytes) {
   if (try_->weak) return;
-  if (try_->streams) return PassEvents(bytes);
+  if (try_->streams) return PassEvents(try_->head, bytes);
   try_->body.append(bytes);
 }
 
-void RelayedRequest::PassEvents(std::string_view bytes) {
+void RelayedRequest::PassEvents(const HttpHead& head, std::string_view bytes) {
   std::string whole = events_.Append(bytes);
   if (whole.empty()) return;
   if (!stream_started_) {
     stream_started_ = true;
     first_event_at_ = Clock::now();
-    HttpHead head = try_->head;
-    RemoveHopFields(&head);
-    answer_status_ = head.status;
-    exchange_->StartStream(std::move(head));
+    HttpHead passed = head;
+    RemoveHopFields(&passed);
+    RemoveForwardResult(&passed);
+    answer_status_ = passed.status;
+    exchange_->StartStream(std::move(passed));
   }
   exchange_->Write(whole);
-  if (exchange_->pending_bytes() > kMostPending && try_->call) {
-    try_->call->PauseReading();
-  }
+  if (exchange_->pending_bytes() > kMostPending) PauseReading();
+}
+
+void RelayedRequest::PauseReading() {
+  if (try_ && try_->call) try_->call->PauseReading();
+  if (forward_) forward_->call->PauseReading();
+}
+
+void RelayedRequest::ResumeReading() {
+  if (try_ && try_->call) try_->call->ResumeReading();
+  if (forward_) forward_->call->ResumeReading();
 }
 
 void RelayedRequest::OnAnswerEnd() {
@@ -400,6 +429,11 @@
   TellBroken(failure);
   bool silent = !failure.sent && failure.error == std::errc::timed_out;
   if (silent) relay_->reach_.RecordTimeout(try_->endpoint, Clock::now());
+  connect_timed_out_ = connect_timed_out_ || silent;
+  if (!failure.sent) {
+    ++failed_connects_;
+    relay_->partition_.ConnectFailed(service_, try_->endpoint, failure.error);
+  }
   relay_->loads_.RecordFailure(try_->ticket, try_->data_centre, Clock::now());
   std::string endpoint = try_->endpoint;
   // Before the next send: a run that begins after an end is not under it.
@@ -493,6 +527,7 @@
 
 void RelayedRequest::PassAnswer(HttpHead head, const std::string& body) {
   RemoveHopFields(&head);
+  RemoveForwardResult(&head);
   answer_status_ = head.status;
   exchange_->Answer(std::move(head), body);
   Finish(kAnswered);
@@ -538,7 +573,8 @@
 
 void RelayedRequest::OnTimeUp() {
   if (finished_) return;
-  bool sent = try_ && try_->call && try_->call->sent();
+  bool sent = (try_ && try_->call && try_->call->sent()) ||
+              (forward_ && forward_->call->sent());
   if (stream_started_) {
     NoteStream(false);
     return BreakStream("stream_timed_out");
@@ -561,6 +597,13 @@
     try_->call->Abort();
     ReleaseEndpoint(true, RunOutcome::kAbandoned);
   }
+  if (forward_) {
+    forward_->call->Abort();
+    EndForward(ForwardOutcome::kAborted);
+  }
+  if (is_forwarded()) {
+    relay_->forwarder_.admission()->RecordEnd(exchange_->body().size());
+  }
   relay_->rollouts_.RecordRequestEnd(service_, request_.session, Clock::now());
   TellEnd(outcome);
   relay_->open_.erase(self);
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -21,6 +21,7 @@
 #include <utility>
 
 #include "daemon/dialect.h"
+#include "daemon/forwarded_call.h"
 #include "daemon/relay.h"
 #include "daemon/request_terms.h"
 #include "leverwick/attempt_history.h"
@@ -46,11 +47,13 @@
 };
 
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>,
-                       private ClientCall::Observer {
+                       private ClientCall::Observer,
+                       private ForwardedCall::Listener {
  public:
+  // `origin` names the box that forwards the request; none: a caller sent it.
   RelayedRequest(Relay* relay, std::shared_ptr<ServerExchange> exchange,
                  CallerRequest request, const ServiceRoute& route,
-                 ApiKeyOwner holder);
+                 ApiKeyOwner holder, ForwardOrigin origin);
 
   void Start();
 
@@ -63,6 +66,8 @@
   void Dispatch();
   // Sends it, or lets it wait for an ask that is under way.
   void SendOrWait();
+  // Ends a request that can be sent to no endpoint any more.
+  void AnswerUnreached(Result why);
   // Asks for the endpoint where the request would best go, if that one names a
   // limit; true if the answer is under way.
   bool AskForPermit(TimePoint now);
@@ -70,8 +75,34 @@
   std::string ChooseEndpoint(size_t model);
   void SendTo(const DirectoryEntry& endpoint);
   std::string RequestFor(const DirectoryEntry& endpoint) const;
+  // Behind which a stream goes on; empty: from its begin.
+  std::string LastEventId() const {
+    return events_.last_id().empty() ? origin_.last_event_id
+                                     : events_.last_id();
+  }
+
+  // Forwarding; in relayed_request_forward.cc.
+  // Whether another box more likely reaches an endpoint than this one.
+  bool PrefersForwarding() const;
+  // Forwards the request to another box; false if there is none for it.
+  bool Forward();
+  // Whether the request may be sent to an endpoint although no other box
+  // takes it and this one is partitioned.
+  bool MayTryEndpoint();
+  bool is_forwarded() const { return !origin_.box.empty(); }
+  ForwardOrigin OriginFor(int max_attempts) const;
+  void EndForward(ForwardOutcome outcome);
+  // The request has not run there: goes on with another box or an endpoint.
+  void ForwardElsewhere(ForwardOutcome outcome);
+  void OnForwardEvents(const HttpHead& head, std::string_view bytes) override;
+  void OnForwardStreamEnd(const HttpHead& head) override;
+  void OnForwardResponse(const HttpHead& head,
+                         const std::string& body) override;
+  void OnForwardResult(const ForwardResult& result) override;
+  void OnForwardFailed(bool sent) override;
 
   // ClientCall::Observer.
+  void OnConnected() override { relay_->partition_.Contacted(service_); }
   bool OnAnswerHead(const HttpHead& head) override;
   void OnAnswerBody(std::string_view bytes) override;
   void OnAnswerEnd() override;
@@ -99,7 +130,9 @@
   WatchedTry Watched() const;
 
   // Ending.
-  void PassEvents(std::string_view bytes);
+  void PassEvents(const HttpHead& head, std::string_view bytes);
+  void PauseReading();
+  void ResumeReading();
   // Times a try that is given up before its answer was whole.
   void TimeUnended();
   void PassAnswer(HttpHead head, const std::string& body);
@@ -132,6 +165,8 @@
   void TellBroken(const ClientCall::Failure& failure);
   // One line for a try without an answer to pass on, with what comes next.
   void TellTryEnd(AttemptOutcome outcome, NextStep step);
+  void TellForward();
+  void TellForwardEnd(ForwardOutcome outcome);
   // One line for a request that ended, with all that decided it.
   void TellEnd(const char* outcome);
 
@@ -143,6 +178,7 @@
   const std::shared_ptr<const ServiceConfig> config_;  // holds route_
   const ServiceRoute& route_;
   const ApiKeyOwner holder_;
+  const ForwardOrigin origin_;
   const RequestTerms terms_;
   const std::string service_;
   const RequestDigest digest_;
@@ -162,6 +198,15 @@
   bool is_trial_ = false;          // of a held request: one send
   size_t model_ = 0;               // index among the route's models
   std::optional<EndpointTry> try_;
+  int failed_connects_ = 0;
+  bool connect_timed_out_ = false;
+  struct OpenForward {
+    std::string box;
+    TimePoint sent_at{};
+    std::shared_ptr<ForwardedCall> call;
+  };
+  std::optional<OpenForward> forward_;
+  std::set<std::string> forwarded_to_;  // boxes
   // A stream that is passed on.
   EventStreamSplitter events_;
   bool stream_started_ = false;
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -108,10 +108,37 @@
              {"next", NameOf(step)}});
 }
 
+void RelayedRequest::TellForward() {
+  kLog.Info(
+      "Request is forwarded.",
+      {{"request", request_.id},
+       {"box", forward_->box},
+       {"service", service_},
+       {"failed_connects", std::to_string(failed_connects_)},
+       {"after_event", LastEvent()},
+       {"time_left_ms", std::to_string(TimeLeft(forward_->sent_at).count())}});
+  relay_->sampler_.RecordLine(forward_->sent_at);
+}
+
+void RelayedRequest::TellForwardEnd(ForwardOutcome outcome) {
+  Seconds took = Clock::now() - forward_->sent_at;
+  relay_->metrics_.Time("leverwick_forward_seconds", "", took);
+  if (outcome == ForwardOutcome::kServed) return;
+  relay_->sampler_.RecordLine(Clock::now());
+  kLog.Info("A forwarded request came back.",
+            {{"request", request_.id},
+             {"box", forward_->box},
+             {"outcome", NameOf(outcome)},
+             {"took_ms", std::to_string(std::lround(took.count() * 1000))}});
+}
+
 void RelayedRequest::TellEnd(const char* outcome) {
   TimePoint now = Clock::now();
   Seconds took = now - exchange_->received();
-  relay_->CountEnd(holder_.organisation, outcome, answer_status_);
+  // The box that got it from its caller counts it.
+  if (!is_forwarded()) {
+    relay_->CountEnd(holder_.organisation, outcome, answer_status_);
+  }
   relay_->metrics_.Time("leverwick_request_seconds", "", took);
   if (stream_started_) {
     relay_->metrics_.Time("leverwick_first_event_seconds", "",
@@ -127,6 +154,8 @@
              {"config", std::to_string(config_->version())},
              {"attempts", std::to_string(log_.attempts())},
              {"endpoint", try_ ? try_->endpoint : "none"},
+             {"forwarded_by", is_forwarded() ? origin_.box : "none"},
+             {"forwards", std::to_string(forwarded_to_.size())},
              {"status", TryStatus()},
              {"events", std::to_string(events_.event_count())},
              {"outcome", outcome},
--- a/leverwick/attempt_history.cc
+++ b/leverwick/attempt_history.cc
@@ -19,7 +19,7 @@
 
 NextStep AttemptHistory::DecideNextStep(AttemptOutcome outcome,
                                         bool may_retry) {
-  if (outcome == AttemptOutcome::kNotSent) --attempts_;
+  if (outcome == AttemptOutcome::kNotSent) attempts_ -= last_endpoints_;
   if (outcome == AttemptOutcome::kFailed ||
       outcome == AttemptOutcome::kBroken) {
     may_have_run_ = true;
--- a/leverwick/attempt_history.h
+++ b/leverwick/attempt_history.h
@@ -40,9 +40,12 @@
   AttemptHistory(bool repeatable, int max_attempts)
       : repeatable_(repeatable), max_attempts_(max_attempts) {}
 
-  // Records the start of an attempt. It counts as one endpoint that the request
-  // is sent to.
-  void RecordAttempt() { ++attempts_; }
+  // Records the start of an attempt that sends the request to `endpoints`
+  // endpoints at most.
+  void RecordAttempt(int endpoints = 1) {
+    last_endpoints_ = endpoints;
+    attempts_ += endpoints;
+  }
 
   // Records that the response of an attempt was discarded in favour of a better
   // one. The request has run.
@@ -56,12 +59,14 @@
   // Returns whether some attempt has run or may have run.
   bool may_have_run() const { return may_have_run_; }
   int attempts() const { return attempts_; }
-  bool has_attempts_left() const { return attempts_ < max_attempts_; }
+  int attempts_left() const { return max_attempts_ - attempts_; }
+  bool has_attempts_left() const { return attempts_left() > 0; }
 
  private:
   const bool repeatable_;
   const int max_attempts_;
   int attempts_ = 0;
+  int last_endpoints_ = 0;  // of the latest attempt
   bool may_have_run_ = false;
 };
 
--- a/leverwick/endpoint_pool.cc
+++ b/leverwick/endpoint_pool.cc
@@ -387,6 +387,27 @@
   return false;
 }
 
+size_t EndpointPool::CountUsable(const std::string& target) const {
+  Shard& shard = ShardFor(target);
+  std::lock_guard<std::mutex> lock(shard.mutex);
+  auto endpoints = shard.targets.find(target);
+  if (endpoints == shard.targets.end()) return 0;
+  return static_cast<size_t>(
+      std::count_if(endpoints->second.begin(), endpoints->second.end(),
+                    [](const auto& entry) { return IsUsable(entry.second); }));
+}
+
+void EndpointPool::ForgetFailures(const std::string& target) {
+  Shard& shard = ShardFor(target);
+  std::lock_guard<std::mutex> lock(shard.mutex);
+  auto endpoints = shard.targets.find(target);
+  if (endpoints == shard.targets.end()) return;
+  for (auto& entry : endpoints->second) {
+    entry.second.consecutive_failures = 0;
+    entry.second.ejected_until = TimePoint{};
+  }
+}
+
 bool EndpointPool::HasUsable(const std::string& target, TimePoint now) const {
   return !PickLeastLoaded(target, {}, now).address.empty();
 }
--- a/leverwick/endpoint_pool.h
+++ b/leverwick/endpoint_pool.h
@@ -118,6 +118,11 @@
   // not leaving, including endpoints that cannot be picked at present.
   bool AnyListed(const std::string& target, const Filter& filter) const;
 
+  // Returns the number of listed endpoints of the target that are not leaving.
+  size_t CountUsable(const std::string& target) const;
+  // Forgets the failures of the target's endpoints, so that none is ejected.
+  void ForgetFailures(const std::string& target);
+
   // Returns the sum of max_in_flight over the endpoints of the target that can
   // be picked.
   size_t TotalMaxInFlight(const std::string& target, TimePoint now) const;
--- a/leverwick/endpoint_selector.cc
+++ b/leverwick/endpoint_selector.cc
@@ -132,6 +132,13 @@
   return Result::kNoEndpoint;
 }
 
+bool EndpointSelector::HasListed(const EndpointCriteria& criteria) const {
+  return facts_.pool->AnyListed(criteria.service,
+                                [&](const ListedEndpoint& endpoint) {
+                                  return IsEligible(endpoint, criteria);
+                                });
+}
+
 milliseconds EndpointSelector::RetryAfter(const EndpointCriteria& criteria,
                                           TimePoint now) const {
   bool listed = false;
--- a/leverwick/endpoint_selector.h
+++ b/leverwick/endpoint_selector.h
@@ -92,6 +92,10 @@
   // back-offs that they requested, or anything else.
   Result ReasonForNone(const EndpointCriteria& criteria, TimePoint now) const;
 
+  // Returns whether an endpoint is listed that could run the request if this
+  // box reached it.
+  bool HasListed(const EndpointCriteria& criteria) const;
+
   // Returns how long until an endpoint may become eligible. It is sent to the
   // caller as the retry-after time.
   milliseconds RetryAfter(const EndpointCriteria& criteria,
--- a/leverwick/reachability.h
+++ b/leverwick/reachability.h
@@ -58,6 +58,14 @@
     timeouts_.erase(endpoint);
   }
 
+  // Forgets the endpoints that timed out at `since` or later.
+  void ForgetSince(TimePoint since) {
+    for (auto entry = timeouts_.begin(); entry != timeouts_.end();) {
+      bool is_recent = entry->second.last_attempt >= since;
+      entry = is_recent ? timeouts_.erase(entry) : std::next(entry);
+    }
+  }
+
   // Removes endpoints without an attempt within kIdleExpiry.
   void Expire(TimePoint now) {
     for (auto entry = timeouts_.begin(); entry != timeouts_.end();) {
--- /dev/null
+++ b/leverwick/testing/partition_detector_test.cc
@@ -0,0 +1,183 @@
+#include "leverwick/partition_detector.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+namespace leverwick {
+namespace {
+
+using Failure = PartitionDetector::Failure;
+
+constexpr size_t kListed = 10;
+
+class Fixture {
+ public:
+  void Fail(int endpoint) {
+    now += milliseconds(10);
+    detector.RecordConnectFailure("s", std::to_string(endpoint),
+                                  Failure::kRefused, kListed, now);
+  }
+  void FailSix() {
+    for (int endpoint = 0; endpoint < 6; ++endpoint) Fail(endpoint);
+  }
+  size_t DueProbes() {
+    size_t count = 0;
+    for (const auto& probe : detector.TakeDueProbes(now)) count += probe.count;
+    return count;
+  }
+  void Contact() {
+    now += milliseconds(10);
+    detector.RecordContact("s", now);
+  }
+  // Contacts until the partition is over.
+  int ContactsToEnd() {
+    int contacts = 0;
+    while (detector.IsPartitioned("s") && contacts < 100) {
+      Contact();
+      ++contacts;
+    }
+    return contacts;
+  }
+
+  PartitionDetector detector;
+  TimePoint now{std::chrono::hours(1)};
+};
+
+TEST_CASE_FIXTURE(Fixture, "one endpoint that fails is no partition") {
+  for (int i = 0; i < 20; ++i) Fail(0);
+  CHECK_FALSE(detector.IsPartitioned("s"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "six endpoints that fail in a row are one") {
+  for (int endpoint = 0; endpoint < 5; ++endpoint) Fail(endpoint);
+  CHECK_FALSE(detector.IsPartitioned("s"));
+  Fail(5);
+  CHECK(detector.IsPartitioned("s"));
+  CHECK(detector.partitioned_count() == 1);
+  CHECK_FALSE(detector.IsPartitioned("other"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "three failures bring test connections to others") {
+  Fail(0);
+  Fail(1);
+  CHECK(detector.TakeDueProbes(now).empty());
+  Fail(2);
+  auto probes = detector.TakeDueProbes(now);
+  REQUIRE(probes.size() == 1);
+  CHECK(probes[0].service == "s");
+  CHECK(probes[0].count == 3);
+  CHECK(probes[0].excluded == std::set<std::string>{"0", "1", "2"});
+  Contact();
+  now += std::chrono::seconds(1);
+  CHECK(detector.TakeDueProbes(now).empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a contact in between rules a partition out") {
+  for (int i = 0; i < 20; ++i) {
+    Fail(0);
+    Fail(1);
+    Contact();
+    Fail(2);
+    Contact();
+  }
+  CHECK_FALSE(detector.IsPartitioned("s"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "all endpoints of a small service are enough") {
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(detector.IsPartitioned("s"));
+    detector.RecordConnectFailure("s", "a", Failure::kRefused, 1, now);
+  }
+  CHECK(detector.IsPartitioned("s"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a failure during a partition starts anew") {
+  FailSix();
+  Contact();
+  Fail(0);
+  Contact();
+  CHECK(detector.IsPartitioned("s"));
+  Contact();
+  CHECK_FALSE(detector.IsPartitioned("s"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a flapping path needs more contacts each time") {
+  FailSix();
+  CHECK(ContactsToEnd() == 2);
+  for (int expected : {4, 8, 8}) {
+    FailSix();
+    CHECK(ContactsToEnd() == expected);
+  }
+  now += std::chrono::seconds(11);
+  FailSix();
+  CHECK(ContactsToEnd() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "test connections come at a bounded rate") {
+  CHECK(DueProbes() == 0);
+  FailSix();
+  size_t probes = 0;
+  for (int step = 0; step < 1000; ++step) {
+    now += milliseconds(10);
+    probes += DueProbes();
+  }
+  CHECK(probes == 60);
+  // A contact is confirmed sooner.
+  Contact();
+  now += milliseconds(100);
+  CHECK(DueProbes() == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "trials are free without a partition, and rare") {
+  CHECK(detector.TakeTrial("s", now));
+  CHECK(detector.TakeTrial("s", now));
+  FailSix();
+  int trials = 0;
+  for (int step = 0; step < 100; ++step) {
+    now += milliseconds(10);
+    if (detector.TakeTrial("s", now)) ++trials;
+  }
+  CHECK(trials == 5);
+  detector.RecordConnectFailure("s", "0", Failure::kTimedOut, kListed, now);
+  now += std::chrono::seconds(1);
+  CHECK_FALSE(detector.TakeTrial("s", now));
+}
+
+TEST_CASE_FIXTURE(Fixture, "changes are reported once each") {
+  int begun = 0;
+  int ended = 0;
+  TimePoint begin{};
+  detector.SetChangeCallback(
+      [&](const std::string& service, bool is_partitioned, TimePoint since) {
+        CHECK(service == "s");
+        ++(is_partitioned ? begun : ended);
+        if (is_partitioned) begin = since;
+        CHECK(since == begin);
+      });
+  FailSix();
+  FailSix();
+  ContactsToEnd();
+  Contact();
+  CHECK(begun == 1);
+  CHECK(ended == 1);
+  FailSix();
+  detector.Discard("s");
+  CHECK(ended == 2);
+  CHECK(detector.size() == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "services without failures are dropped") {
+  Fail(0);
+  now += std::chrono::seconds(61);
+  detector.Expire(now);
+  CHECK(detector.size() == 0);
+  FailSix();
+  now += std::chrono::seconds(61);
+  detector.Expire(now);
+  CHECK(detector.IsPartitioned("s"));
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -223,8 +223,10 @@
             if (error) {
               return call->observer_->OnCallFailed({error, false, false});
             }
-            auto connection = std::make_shared<ClientConnection>(
-                this, address, std::move(tcp));
+            auto connection =
+                std::make_shared<ClientConnection>(this, address, tcp);
+            call->observer_->OnConnected();
+            if (call->aborted_) return tcp->Close();
             connection->Start();
             connection->Begin(call);
           });
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -44,6 +44,8 @@
   class Observer {
    public:
     virtual ~Observer() = default;
+    // A connection was opened for the call.
+    virtual void OnConnected() {}
     // False when the answer is not this request's: it is read and dropped,
     // and the next one is awaited.
     virtual bool OnAnswerHead(const HttpHead& head) = 0;
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -54,6 +54,14 @@
   const std::string& body() const { return body_; }
   TimePoint received() const { return received_; }
 
+  // Replaces the request by the one that it encloses.
+  void Unwrap(HttpHead head, std::string body) {
+    head_ = std::move(head);
+    body_ = std::move(body);
+    is_unwrapped_ = true;
+  }
+  bool is_unwrapped() const { return is_unwrapped_; }
+
   // Called at most once, when the caller closes before the answer's end.
   void OnLeft(std::function<void()> callback) { left_ = std::move(callback); }
   // Called when a stream's written parts have all left this box.
@@ -84,6 +92,7 @@
   std::function<void()> drained_;
   bool started_ = false;
   bool chunked_ = false;
+  bool is_unwrapped_ = false;
 };
 
 class AsyncHttpServer {
