A retry whose connection never came up takes nothing more from the retry budget

Cause: the first send of a request could look for another endpoint without the budget, while a stream that broke and went on took one retry for each endpoint it did not reach, and ended after three though nothing had been sent. Change: what was not sent has used nothing; six sends bound the search as before. Measured: 'a stream goes on through another box when its box is partitioned' fails without it (three of five events) and passes with it.

--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -458,9 +458,9 @@
 bool RelayedRequest::MayResend(AttemptOutcome outcome) {
   if (dispatches_ >= kMostDispatches || is_trial_) return false;
   if (TimeLeft(Clock::now()) < kLeastTime) return false;
-  bool first_never_left =
-      outcome == AttemptOutcome::kNotSent && log_.attempts() <= 1;
-  return first_never_left ||
+  // What an earlier retry took from the budget has not been used.
+  bool never_left = outcome == AttemptOutcome::kNotSent;
+  return never_left ||
          relay_->TakeRetry(service_, RetryBudget::Purpose::kFirstResponse);
 }
 
