An endpoint's end counts only while a neighbour of it accepts a connection

Cause: a box took its own broken and refused connections for the endpoint's end; the same class as the refusals. Change: before an end is told, up to three neighbours are asked for a connection. Why it works: a box without a path gets none from them either, and one with a path does unless all four ended together.

--- a/daemon/endpoint_directory.cc
+++ b/daemon/endpoint_directory.cc
@@ -208,6 +208,25 @@
   return nullptr;
 }
 
+std::vector<const DirectoryEntry*> EndpointDirectory::NeighboursOf(
+    const std::string& id, size_t count, double draw) const {
+  const DirectoryEntry* self = Find(id);
+  std::vector<const DirectoryEntry*> near;
+  std::vector<const DirectoryEntry*> far;
+  for (const auto& [other, known] : entries_) {
+    if (other == id || known.gone || known.entry.leaving) continue;
+    bool is_near =
+        self != nullptr && known.entry.data_centre == self->data_centre;
+    (is_near ? near : far).push_back(&known.entry);
+  }
+  std::vector<const DirectoryEntry*>& all = near.empty() ? far : near;
+  auto first =
+      static_cast<std::ptrdiff_t>(draw * static_cast<double>(all.size()));
+  std::rotate(all.begin(), all.begin() + first, all.end());
+  all.resize(std::min(all.size(), count));
+  return all;
+}
+
 std::set<std::string> EndpointDirectory::VersionsOf(
     const std::string& service) const {
   std::set<std::string> versions;
--- a/daemon/endpoint_directory.h
+++ b/daemon/endpoint_directory.h
@@ -97,6 +97,11 @@
   const DirectoryEntry* Find(const std::string& id) const;
   // The endpoint that is listed at an address; null: none.
   const DirectoryEntry* FindAt(const std::string& address) const;
+  // Up to `count` other endpoints, those of its data centre if there are any.
+  // `draw`, from 0 to 1, decides which.
+  std::vector<const DirectoryEntry*> NeighboursOf(const std::string& id,
+                                                  size_t count,
+                                                  double draw) const;
   // Versions of a service's endpoints that are not leaving.
   std::set<std::string> VersionsOf(const std::string& service) const;
   // Whether at least half of a version's endpoints will be warm at `when`.
--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -20,6 +20,9 @@
 constexpr int kLooks = 4;
 // For the answer to one opening packet, lost once, in another region.
 constexpr milliseconds kProbeTime{400};
+// Endpoints that are asked for a connection before an end counts. More than one
+// may end at the same time.
+constexpr size_t kNeighbours = 3;
 // Requests that one line names.
 constexpr size_t kMostNamed = 8;
 
@@ -49,7 +52,8 @@
     : loop_(loop),
       directory_(directory),
       rollouts_(rollouts),
-      connections_(connections) {
+      connections_(connections),
+      random_(std::random_device{}()) {
   connections_->OnRestClosed(
       [this](const std::string& address) { RestClosed(address); });
 }
@@ -112,7 +116,8 @@
     if (tcp != nullptr) tcp->Close();
     // No answer at all is what a cut or a lost packet looks like.
     if (error != std::errc::connection_refused) return;
-    Tell(endpoint, broke_at, runs_.TakeCrashSuspects(endpoint, broke_at));
+    TellIfPathIsOpen(endpoint, broke_at,
+                     runs_.TakeCrashSuspects(endpoint, broke_at));
   };
   connections_->Connect(directory_->Find(endpoint)->address, kProbeTime,
                         probed);
@@ -122,7 +127,41 @@
   if (!IsUnplanned(endpoint) || suspected_.count(endpoint) > 0) return;
   if (IsAlive(endpoint, now)) return;
   std::vector<EndpointRun> under = runs_.TakeAbandonedSuspects(endpoint, now);
-  if (!under.empty()) Tell(endpoint, now, std::move(under));
+  if (!under.empty()) TellIfPathIsOpen(endpoint, now, std::move(under));
+}
+
+void EndpointEnds::CheckPath(const std::string& endpoint,
+                             std::function<void(bool is_open)> callback) {
+  double draw = std::uniform_real_distribution<>(0, 1)(random_);
+  auto neighbours = directory_->NeighboursOf(endpoint, kNeighbours, draw);
+  if (neighbours.empty()) return callback(true);
+  struct Check {
+    size_t pending;
+    std::function<void(bool)> callback;
+  };
+  auto check =
+      std::make_shared<Check>(Check{neighbours.size(), std::move(callback)});
+  auto connected = [check](std::error_code error, const auto& tcp) {
+    if (tcp != nullptr) tcp->Close();
+    bool is_last = --check->pending == 0;
+    if (!check->callback || (error && !is_last)) return;
+    auto done = std::move(check->callback);
+    check->callback = nullptr;
+    done(!error);
+  };
+  for (const DirectoryEntry* neighbour : neighbours) {
+    connections_->Connect(neighbour->address, kProbeTime, connected);
+  }
+}
+
+void EndpointEnds::TellIfPathIsOpen(const std::string& endpoint, TimePoint at,
+                                    std::vector<EndpointRun> under) {
+  CheckPath(endpoint,
+            [this, endpoint, at, under = std::move(under)](bool is_open) {
+              if (is_open) return Tell(endpoint, at, under);
+              kLog.Info("An end is not reported: no neighbour is reachable.",
+                        {{"endpoint", endpoint}});
+            });
 }
 
 void EndpointEnds::Told(const std::string& endpoint, TimePoint ended_at) {
--- a/daemon/endpoint_ends.h
+++ b/daemon/endpoint_ends.h
@@ -6,7 +6,8 @@
 // off or closed by the endpoint, which lives on. So after a break this waits a
 // moment and looks whether other calls to the endpoint, or connections at rest,
 // are still open. If none is, it asks for a new connection: only where that is
-// refused has the endpoint ended.
+// refused may the endpoint have ended. A box that has lost its own path sees
+// the same, so an end counts only while a neighbour accepts a connection.
 // An endpoint that has said that it leaves, that is not listed any more, or
 // whose version a roll-out has left, ends as planned and is nobody's fault.
 //
@@ -23,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -78,6 +80,13 @@
   void Look(const std::string& endpoint, TimePoint broke_at, int looks);
   // Asks for a connection.
   void Probe(const std::string& endpoint, TimePoint broke_at);
+  // Calls back once whether a neighbour of the endpoint accepts a connection;
+  // true if it has none.
+  void CheckPath(const std::string& endpoint,
+                 std::function<void(bool is_open)> callback);
+  // An end that this box has seen itself.
+  void TellIfPathIsOpen(const std::string& endpoint, TimePoint at,
+                        std::vector<EndpointRun> under);
   void Tell(const std::string& endpoint, TimePoint at,
             std::vector<EndpointRun> under);
 
@@ -87,6 +96,7 @@
   HttpConnections* const connections_;
   RecentRuns runs_;
   std::map<std::string, TimePoint> suspected_;  // when a connection broke
+  std::mt19937 random_;
   Callback on_ended_ = [](const EndpointEnd&) {};
 };
 
