The places of brittle endpoints are divided among the boxes

What callers would see: endpoints that say they fall over when they turn more than N requests away in a second were made to fall, since nothing read it. Cause: boxes send by what they know of an endpoint themselves, and a burst of all of them meets an endpoint that lets nothing wait. Why it works: the parts add up to the places, so that nothing is turned away but what boxes exceed their parts by, a quarter of N a second on average.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -59,6 +59,9 @@
   std::optional<milliseconds> retry_after;
   bool retry_after_unreadable = false;
   bool leaving = false;  // the endpoint is about to end
+  // The endpoint ends if it has to turn away more requests in a second than
+  // this, from all boxes together; unset: it bears any number.
+  std::optional<double> most_turned_away;
   bool succeeded() const { return status >= 200 && status < 300; }
 };
 
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -39,7 +39,9 @@
       guard_(options.life, kTripThreshold),
       watch_(&estimates_, &guard_, &rollouts_, &directory_),
       cascade_(options.weak_answer),
-      gates_({&reach_, backoffs_.backoffs(), &slow_start_, limits_.permits()}),
+      brittle_(options.life),
+      gates_({&reach_, backoffs_.backoffs(), &slow_start_, limits_.permits(),
+              &brittle_}),
       choice_({&pool_, &rollouts_, &loads_, &gates_, &drained_, &refusals_},
               RemoteCost(options.far_megabyte), options.data_centre,
               options.regions),
@@ -75,6 +77,22 @@
     refusals_.RecordRefusal(endpoint, now);
   if (!answer.not_run) refusals_.RecordAcceptance(endpoint);
   if (answer.leaving) directory_.SaidLeaving(endpoint, now);
+  HeardBrittle(endpoint, answer, now);
+}
+
+void Relay::HeardBrittle(const std::string& endpoint, const AnswerHead& answer,
+                         TimePoint now) {
+  const DirectoryEntry* entry = directory_.Find(endpoint);
+  if (entry == nullptr || !answer.most_turned_away) return;
+  if (answer.not_run) brittle_.RecordRejection(endpoint, now);
+  bool begins =
+      brittle_.RecordReport(entry->service, *answer.most_turned_away, now);
+  if (!begins) return;
+  metrics_.Add("leverwick_brittle_services_total", "", 1);
+  kLog.Warning("The endpoints of a service are brittle.",
+               {{"service", entry->service},
+                {"endpoint", endpoint},
+                {"bears", std::to_string(*answer.most_turned_away)}});
 }
 
 void Relay::OnNewLife(const std::string& endpoint) {
@@ -83,6 +101,7 @@
   reach_.RecordResponse(endpoint);
   loads_.RecordRestart(endpoint);
   limits_.Restarted(endpoint, Clock::now());
+  brittle_.RecordRestart(endpoint);
 }
 
 void Relay::OnEndpointEnd(const EndpointEnd& end) {
@@ -241,6 +260,7 @@
   slow_start_.Expire(now);
   limits_.Expire(now);
   backoffs_.Expire(now);
+  brittle_.Expire(now);
   partition_.Tick(now);
   forwarder_.Expire(now);
   for (const EndpointRun& run : ends_.TakeSurvived(now)) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -103,6 +103,7 @@
   EndpointEnds* ends() { return &ends_; }
   ServiceDemand* demand() { return &demand_; }
   RequestForwarder* forwarder() { return &forwarder_; }
+  BrittleEndpoints* brittle() { return &brittle_; }
   const VersionWatch* watch() const { return &watch_; }
 
   // A planned stop goes on for too long to begin more work: what comes from
@@ -145,6 +146,9 @@
                TimePoint now, ApiKeyOwner* holder) const;
   // Takes in all that the head of an answer says of its endpoint.
   void Heard(const EndpointTry& answered);
+  // Takes in what an answer says of the endpoints of a brittle service.
+  void HeardBrittle(const std::string& endpoint, const AnswerHead& answer,
+                    TimePoint now);
   // What its earlier life said, did and knew says nothing of the new one.
   void OnNewLife(const std::string& endpoint);
   void OnEndpointEnd(const EndpointEnd& end);
@@ -183,6 +187,7 @@
   EngineLoads loads_;
   Reachability reach_;
   RecentRefusals refusals_;
+  BrittleEndpoints brittle_;
   const SendEligibility gates_;
   const EndpointSelector choice_;
   HttpConnections connections_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -24,6 +24,8 @@
 // How long a request that only limits keep from all endpoints goes on asking
 // for a permit: boxes answer within a few ms, far ones within some tens.
 constexpr milliseconds kMostWaitForPermit{100};
+// Between two looks for capacity of brittle endpoints.
+constexpr milliseconds kCapacityInterval{20};
 // Endpoints whose limit this box deals out itself that one request asks for in
 // a row: more than a service most likely has in need at once.
 constexpr int kMostAsksAtOnce = 16;
@@ -193,6 +195,8 @@
     auto self = shared_from_this();
     return relay_->limits_.Wait([self] { self->SendOrWait(); });
   }
+  bool is_brittle = relay_->brittle_.IsBrittle(service_, now);
+  if (endpoint == nullptr && is_brittle && may_wait) return WaitForCapacity();
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
   Result why = relay_->choice_.ReasonForNone(Wanted(model_), now);
@@ -207,6 +211,15 @@
   AnswerFailure(Result::kUnknownOutcome);
 }
 
+// Another request of this box may end at a brittle endpoint meanwhile.
+void RelayedRequest::WaitForCapacity() {
+  auto timer = std::make_shared<boost::asio::steady_timer>(*relay_->loop_,
+                                                           kCapacityInterval);
+  timer->async_wait([self = shared_from_this(), timer](auto error) {
+    if (!error) self->SendOrWait();
+  });
+}
+
 // A limit is one sum over all boxes, which no box sees: each may be within it
 // while the endpoint gets a multiple. So a request takes an endpoint that names
 // one only with a permit of the boxes that deal it out.
@@ -233,7 +246,7 @@
   log_.RecordAttempt();
   relay_->pool_.RecordStart(endpoint.id);
   relay_->demand_.RecordStart(service_, Clock::now());
-  relay_->gates_.RecordSend(endpoint.id, Clock::now());
+  relay_->gates_.RecordSend(endpoint.id, endpoint.places, Clock::now());
   try_.emplace();
   try_->endpoint = endpoint.id;
   try_->version = endpoint.version;
@@ -499,6 +512,7 @@
 void RelayedRequest::ReleaseEndpoint(bool good, std::optional<RunOutcome> how) {
   relay_->pool_.RecordCompletion(try_->endpoint, good, Clock::now());
   relay_->demand_.RecordEnd(service_, Clock::now());
+  relay_->brittle_.RecordEnd(try_->endpoint);
   relay_->loads_.RecordFinish(try_->ticket);
   RecentRuns* runs = relay_->ends_.runs();
   if (how) {
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -66,6 +66,8 @@
   void Dispatch();
   // Sends it, or lets it wait for an ask that is under way.
   void SendOrWait();
+  // Calls SendOrWait again soon.
+  void WaitForCapacity();
   // Ends a request that can be sent to no endpoint any more.
   void AnswerUnreached(Result why);
   // Asks for the endpoint where the request would best go, if that one names a
--- a/leverwick/send_eligibility.cc
+++ b/leverwick/send_eligibility.cc
@@ -9,6 +9,7 @@
     &SendEligibility::TimeUntilReachable,
     &SendEligibility::TimeUntilBackoffEnds,
     &SendEligibility::TimeUntilSlowStartAdmits,
+    &SendEligibility::TimeUntilCapacityShare,
     &SendEligibility::TimeUntilPermit};
 
 bool SendEligibility::IsEligible(const ListedEndpoint& endpoint, Scope scope,
@@ -28,11 +29,12 @@
 }
 
 void SendEligibility::RecordSend(const std::string& endpoint,
-                                 TimePoint now) const {
+                                 size_t max_in_flight, TimePoint now) const {
   dependencies_.reach->RecordAttempt(endpoint, now);
   dependencies_.backoffs->RecordSend(endpoint, now);
   dependencies_.slow_start->RecordSend(endpoint, now);
   dependencies_.permits->RecordSend(endpoint, now);
+  dependencies_.brittle->RecordSend(endpoint, max_in_flight, now);
 }
 
 nanoseconds SendEligibility::TimeUntilReachable(const ListedEndpoint& endpoint,
@@ -52,6 +54,14 @@
   return dependencies_.slow_start->TimeUntilSendAllowed(endpoint, now);
 }
 
+nanoseconds SendEligibility::TimeUntilCapacityShare(
+    const ListedEndpoint& endpoint, Scope scope, TimePoint now) const {
+  bool is_ignored =
+      scope == Scope::kIgnoreLimits || scope == Scope::kIgnoreLimitsAndBackoffs;
+  if (is_ignored) return nanoseconds(0);
+  return dependencies_.brittle->TimeUntilSendAllowed(endpoint, now);
+}
+
 nanoseconds SendEligibility::TimeUntilPermit(const ListedEndpoint& endpoint,
                                              Scope scope, TimePoint now) const {
   const std::string& id = endpoint.address;
--- a/leverwick/send_eligibility.h
+++ b/leverwick/send_eligibility.h
@@ -2,14 +2,16 @@
 // how long until it may.
 //
 // An endpoint is eligible if it passes every check: it is reachable, no
-// requested back-off is in force, its slow start admits another request, and
-// this box holds a permit if the endpoint reports a rate limit. Every send is
+// requested back-off is in force, its slow start admits another request, this
+// box has a part of its capacity left if it is brittle, and this box holds a
+// permit if the endpoint reports a rate limit. Every send is
 // subject to these checks: first attempts, retries, escalations to a larger
 // model, and streams resumed on another endpoint.
 //
-//   SendEligibility eligibility({&reach, &backoffs, &slow_start, &permits});
+//   SendEligibility eligibility(
+//       {&reach, &backoffs, &slow_start, &permits, &brittle});
 //   if (eligibility.IsEligible(endpoint, SendEligibility::Scope::kAll, now)) {
-//     eligibility.RecordSend(endpoint.address, now);
+//     eligibility.RecordSend(endpoint.address, endpoint.max_in_flight, now);
 //   }
 
 #ifndef LEVERWICK_SEND_ELIGIBILITY_H_
@@ -18,6 +20,7 @@
 #include <string>
 
 #include "leverwick/backoffs.h"
+#include "leverwick/brittle_endpoints.h"
 #include "leverwick/endpoint_pool.h"
 #include "leverwick/reachability.h"
 #include "leverwick/send_permits.h"
@@ -34,6 +37,7 @@
     Backoffs* backoffs;
     SlowStart* slow_start;
     SendPermits* permits;
+    BrittleEndpoints* brittle;
   };
 
   // Selects the checks that apply.
@@ -41,7 +45,8 @@
     kAll,
     // A rate limit blocks only if no permit can be requested either.
     kAllowPermitRequest,
-    kIgnoreLimits,             // rate limits are not checked
+    // Rate limits and brittle endpoints' capacity are not checked.
+    kIgnoreLimits,
     kIgnoreLimitsAndBackoffs,  // nor are back-offs requested by endpoints
   };
 
@@ -62,8 +67,10 @@
     return !dependencies_.permits->MaySend(endpoint, now);
   }
 
-  // Records that a request is sent to the endpoint.
-  void RecordSend(const std::string& endpoint, TimePoint now) const;
+  // Records that a request is sent to the endpoint, which serves
+  // `max_in_flight` requests at a time.
+  void RecordSend(const std::string& endpoint, size_t max_in_flight,
+                  TimePoint now) const;
 
  private:
   // Returns the time until the check passes; zero or less if it passes now.
@@ -77,6 +84,8 @@
                                    TimePoint now) const;
   nanoseconds TimeUntilSlowStartAdmits(const ListedEndpoint& endpoint,
                                        Scope scope, TimePoint now) const;
+  nanoseconds TimeUntilCapacityShare(const ListedEndpoint& endpoint,
+                                     Scope scope, TimePoint now) const;
   nanoseconds TimeUntilPermit(const ListedEndpoint& endpoint, Scope scope,
                               TimePoint now) const;
 
--- /dev/null
+++ b/leverwick/testing/brittle_endpoints_test.cc
@@ -0,0 +1,123 @@
+#include "leverwick/brittle_endpoints.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace leverwick {
+namespace {
+
+class Fixture {
+ public:
+  Fixture() {
+    endpoint.address = "e";
+    endpoint.target = "s";
+    endpoint.max_in_flight = 8;
+  }
+  void Report(double rejections = 5) {
+    brittle.RecordReport("s", rejections, now);
+  }
+  bool MaySend() {
+    return brittle.TimeUntilSendAllowed(endpoint, now) <= nanoseconds(0);
+  }
+  // Sends as many requests as are allowed at once.
+  size_t SendAll() {
+    size_t sent = 0;
+    while (sent < 1000 && MaySend()) {
+      brittle.RecordSend(endpoint.address, endpoint.max_in_flight, now);
+      ++sent;
+    }
+    return sent;
+  }
+
+  BrittleEndpoints brittle{"a"};
+  ListedEndpoint endpoint;
+  TimePoint now{std::chrono::hours(1)};
+};
+
+TEST_CASE_FIXTURE(Fixture, "a sound endpoint gets any number of requests") {
+  CHECK(SendAll() == 1000);
+  Report(0);
+  CHECK_FALSE(MaySend());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a brittle endpoint gets what it has capacity for") {
+  Report(0);
+  CHECK(SendAll() == 8);
+  brittle.RecordEnd("e");
+  CHECK(SendAll() == 1);
+  now += BrittleEndpoints::kReportLifetime;
+  CHECK(MaySend());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an endpoint that rejected one is left alone") {
+  Report();
+  brittle.RecordRejection("e", now);
+  CHECK_FALSE(MaySend());
+  now += BrittleEndpoints::kRejectionPause;
+  CHECK(MaySend());
+  brittle.RecordRejection("e", now);
+  brittle.RecordRestart("e");
+  CHECK(MaySend());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the boxes' parts add up to the capacity") {
+  for (size_t boxes :
+       {size_t{1}, size_t{2}, size_t{7}, size_t{8}, size_t{65}}) {
+    double sum = 0;
+    constexpr int kEndpoints = 2000;
+    for (size_t box = 0; box < boxes; ++box) {
+      BrittleEndpoints each(std::to_string(box));
+      each.SetBoxCount(boxes);
+      for (int i = 0; i < kEndpoints; ++i) {
+        sum += static_cast<double>(each.CapacityShare(std::to_string(i), 8));
+      }
+    }
+    CHECK(sum / kEndpoints == doctest::Approx(8).epsilon(0.02));
+  }
+}
+
+TEST_CASE("excess requests of all boxes stay below what an endpoint bears") {
+  constexpr size_t kBoxes = 20;
+  constexpr double kBears = 4;
+  ListedEndpoint endpoint;
+  endpoint.address = "e";
+  endpoint.target = "s";
+  endpoint.max_in_flight = kBoxes;  // one for each
+  size_t excess = 0;
+  size_t most = 0;
+  constexpr int kSeconds = 500;
+  for (int second = 0; second < kSeconds; ++second) {
+    TimePoint now{std::chrono::hours(1) + std::chrono::seconds(second)};
+    size_t in_second = 0;
+    for (size_t box = 0; box < kBoxes; ++box) {
+      BrittleEndpoints brittle("box" + std::to_string(box));
+      brittle.SetBoxCount(kBoxes);
+      brittle.RecordReport("s", kBears, now);
+      brittle.RecordSend("e", kBoxes, now);
+      while (brittle.TimeUntilSendAllowed(endpoint, now) <= nanoseconds(0)) {
+        brittle.RecordSend("e", kBoxes, now);
+        ++in_second;
+      }
+    }
+    excess += in_second;
+    most = std::max(most, in_second);
+  }
+  double mean = static_cast<double>(excess) / kSeconds;
+  CHECK(mean == doctest::Approx(kBears / 4).epsilon(0.2));
+  CHECK(most <= 2 * kBears);
+}
+
+TEST_CASE_FIXTURE(Fixture, "state that is over is removed") {
+  Report();
+  SendAll();
+  CHECK(brittle.IsBrittle("s", now));
+  CHECK(brittle.service_count() == 1);
+  now += BrittleEndpoints::kReportLifetime;
+  CHECK_FALSE(brittle.IsBrittle("s", now));
+  brittle.Expire(now);
+  CHECK(brittle.service_count() == 0);
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/leverwick/testing/endpoint_selector_test.cc
+++ b/leverwick/testing/endpoint_selector_test.cc
@@ -31,7 +31,9 @@
   SendPermits permits{{"box", "dc1"}, &limits};
   Backoffs backoffs;
   RecentRefusals refusals;
-  SendEligibility eligibility{{&reach, &backoffs, &slow_start, &permits}};
+  BrittleEndpoints brittle{"a"};
+  SendEligibility eligibility{
+      {&reach, &backoffs, &slow_start, &permits, &brittle}};
   EndpointSelector selector{
       {&pool, &rollouts, &loads, &eligibility, &drained, &refusals},
       RemoteCost(std::chrono::seconds(30)),
