--- a/leverwick/home_regions.h
+++ b/leverwick/home_regions.h
@@ -3,7 +3,7 @@
 // An operator may configure home regions for a route, for an organisation or
 // for both. Each list applies independently, and an empty list allows all
 // regions. The restriction applies to endpoints only: any box may accept a
-// request from its caller, and boxes do not forward requests to each other.
+// request from its caller or from another box.
 //
 //   HomeRegions homes{&route.homes, &owner.homes};
 //   if (homes.Allows(regions.RegionFor(endpoint.data_centre))) ...
