Contacts end a partition whatever fails in between; five refused connections forward a request

Cause: with most endpoints of a service ended and some alive, a failed test connection set the contacts back, so that a box could count as partitioned for as long as they were down; and two refused connections sent a request over another box that was no better off. Change: contacts within 2 s end a partition; a request is forwarded after five refused connections, or one that timed out. A message that names no box is malformed: it could be forwarded again.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -173,7 +173,7 @@
   std::string body;
   auto origin = DecodeForward(exchange->body(), &head, &body);
   exchange->Unwrap(std::move(head), std::move(body));
-  if (!origin) {
+  if (!origin || origin->box.empty()) {
     kLog.Error("A forwarded request can't be read.", {});
     return Refuse(exchange, "", Result::kBadRequest, {});
   }
--- a/daemon/relayed_request_forward.cc
+++ b/daemon/relayed_request_forward.cc
@@ -14,9 +14,9 @@
 
 // Boxes that one request is forwarded to.
 constexpr size_t kMaxForwards = 3;
-// Failed connections of one request after which it is forwarded. A timed-out
-// connection has used up much of the caller's time, a refused one has not.
-constexpr int kFailedConnects = 2;
+// Refused connections of one request after which it is forwarded. A connection
+// that timed out is enough, since it has used up much of the caller's time.
+constexpr int kFailedConnects = 5;
 constexpr milliseconds kLeastTime{30};
 
 }  // namespace
--- a/leverwick/partition_detector.cc
+++ b/leverwick/partition_detector.cc
@@ -21,6 +21,9 @@
 // A single contact may be the one that a flapping link lets through.
 constexpr int kRequiredContacts = 2;
 constexpr int kMaxRequiredContacts = 8;
+// Failures in between don't count against the contacts: some endpoints may have
+// ended while the path to the others works.
+constexpr milliseconds kContactWindow{2000};
 // A partition that begins this soon after the previous one counts as its
 // return.
 constexpr std::chrono::seconds kRelapseTime{10};
@@ -39,10 +42,7 @@
     state.failed_endpoints.clear();
   }
   state.failed_endpoints.insert(endpoint);
-  if (state.is_partitioned) {
-    state.contacts = 0;
-    return;
-  }
+  if (state.is_partitioned) return;
   ++state.failures;
   size_t reachable = std::max<size_t>(1, listed);
   size_t distinct = state.failed_endpoints.size();
@@ -63,6 +63,7 @@
   service->is_partitioned = true;
   service->since = now;
   service->contacts = 0;
+  service->contacts_since = TimePoint{};
   service->next_probe = now + kProbeInterval;
   service->next_trial = now;
   on_change_(name, true, now);
@@ -77,6 +78,10 @@
   state.failures = 0;
   state.is_suspect = false;
   if (!state.is_partitioned) return;
+  if (now - state.contacts_since > kContactWindow) {
+    state.contacts = 0;
+    state.contacts_since = now;
+  }
   ++state.contacts;
   state.next_probe = std::min(state.next_probe, now + kConfirmInterval);
   if (state.contacts >= state.required_contacts) End(service, &state, now);
--- a/leverwick/partition_detector.h
+++ b/leverwick/partition_detector.h
@@ -6,8 +6,8 @@
 // between, this box may have lost its own path to them, and it opens test
 // connections to others. If these fail as well it counts as partitioned:
 // requests should take another way, and test connections go on. The partition
-// is over after several contacts in a row; one that returns soon after its end
-// needs more of them.
+// is over after several contacts within a short time; one that returns soon
+// after its end needs more of them.
 //
 //   PartitionDetector detector;
 //   detector.RecordConnectFailure(service, endpoint, error_kind, listed, now);
@@ -93,7 +93,8 @@
     TimePoint since{};
     bool was_partitioned = false;
     TimePoint ended_at{};
-    int contacts = 0;  // in a row during the partition
+    int contacts = 0;  // during the partition, since contacts_since
+    TimePoint contacts_since{};
     int required_contacts = 0;
     bool is_suspect = false;  // test connections are due
     TimePoint next_probe{};
