The simulation of scaling holds its time as std::chrono

Cause: the service time stood as a number of seconds, and a mean number of endpoints was named as if it were a time. Change: service_time is milliseconds; the mean is mean_endpoints.

--- a/leverwick/testing/endpoint_scaler_test.cc
+++ b/leverwick/testing/endpoint_scaler_test.cc
@@ -192,9 +192,9 @@
     CAPTURE(by_target.served);
     CAPTURE(by_queue.served);
     CAPTURE(by_trend.served);
-    CAPTURE(by_target.endpoint_seconds);
-    CAPTURE(by_queue.endpoint_seconds);
-    CAPTURE(by_trend.endpoint_seconds);
+    CAPTURE(by_target.mean_endpoints);
+    CAPTURE(by_queue.mean_endpoints);
+    CAPTURE(by_trend.mean_endpoints);
     CHECK(by_target.served > 0.99);
     CHECK(by_target.served >= by_queue.served);
     CHECK(by_target.served >= by_trend.served);
--- a/leverwick/testing/scaling_simulation.h
+++ b/leverwick/testing/scaling_simulation.h
@@ -18,20 +18,20 @@
 namespace leverwick {
 
 struct ScalingScenario {
-  size_t places = 16;            // of an endpoint
-  double service_seconds = 1.5;  // of a request at an idle endpoint
-  double mean_per_second = 400;  // requests
-  double wave = 0.5;             // amplitude, as a part of the mean
-  double burst = 2;              // factor, for 5 s of each 60 s
-  milliseconds boot_time{7000};  // including the time that it is cold
+  size_t places = 16;               // of an endpoint
+  milliseconds service_time{1500};  // of a request at an idle endpoint
+  double mean_per_second = 400;     // requests
+  double wave = 0.5;                // amplitude, as a part of the mean
+  double burst = 2;                 // factor, for 5 s of each 60 s
+  milliseconds boot_time{7000};     // including the time that it is cold
   // A third of the endpoints is reclaimed every 90 s.
   bool reclaims = false;
   std::chrono::seconds duration{600};
 };
 
 struct ScalingResult {
-  double served = 0;            // of all requests
-  double endpoint_seconds = 0;  // paid, mean number
+  double served = 0;          // of all requests
+  double mean_endpoints = 0;  // that are paid for
 };
 
 class ScalingSimulation {
@@ -53,8 +53,8 @@
       double capacity = endpoints_ * static_cast<double>(scenario_.places);
       double arrivals = RateAt(t) * ToSeconds(kStep);
       double slowdown = 1 + in_flight / std::max(1.0, capacity);
-      double ends =
-          in_flight * ToSeconds(kStep) / (scenario_.service_seconds * slowdown);
+      double ends = in_flight * ToSeconds(kStep) /
+                    (ToSeconds(scenario_.service_time) * slowdown);
       in_flight -= ends;
       double taken = std::min(arrivals, std::max(0.0, capacity - in_flight));
       in_flight += taken;
