Test processes beside each other draw their ports from ranges of their own

Cause: where a process began to draw ports came from its id times 1499, in a space of 9,000, so that processes whose ids differ by six began within six ports of each other and took ports that the other had just found free. Seen: of eight test processes at once on three ended with EADDRINUSE at the start of a box.

--- a/net/testing/free_port_test.cc
+++ b/net/testing/free_port_test.cc
@@ -18,5 +18,18 @@
   CHECK(ports.size() == kPorts);
 }
 
+TEST_CASE("test processes beside each other get ports of their own") {
+  PortRange one;
+  PortRange another;
+  if (!one.is_own() || !another.is_own()) return;  // more processes than ranges
+  CHECK(one.first() != another.first());
+  std::set<uint16_t> ports;
+  for (size_t i = 1; i < PortRange::kSize; ++i) {
+    ports.insert(one.Next());
+    ports.insert(another.Next());
+  }
+  CHECK(ports.size() == 2 * (PortRange::kSize - 1));
+}
+
 }  // namespace
 }  // namespace leverwick
