A box that takes the duties over reports the windows that ended before

What organisations would see: usage of the windows that the box before had not reported was in no report, and no line or figure told of it. Cause: UsageLedger dropped all windows before the first that it might miss, which is the one in which it began to report. Evidence: two tests of duties failed with 0 of 21 requests in some runs. They fail whenever the lease is taken in the last fifth of a second: of starts at 0.05, 0.3, 0.55, 0.8, 0.85, 0.9 and 0.95 s the last four failed on the code before (15 of 15 runs at 0.81 s too), none with the change. Change: windows are dropped when they are too late, whoever was to report them. Measured: the new unit test fails without it (no window is due) and passes with it; the whole-box test passed at all seven starts.

--- a/leverwick/testing/usage_windows_test.cc
+++ b/leverwick/testing/usage_windows_test.cc
@@ -69,6 +69,17 @@
   CHECK(ledger.CountsOf(1000).at("acme") == 5);
 }
 
+TEST_CASE("windows that ended before a box reports are still due from it") {
+  UsageLedger ledger(kOptions);
+  ledger.Record("a", {1000, {{"acme", 2}}, true}, After(5010));
+  CHECK(ledger.TakeMissed(After(5020)) == 0);
+  REQUIRE(ledger.NextDue({"a"}, After(5030)) == 1000);
+  CHECK(ledger.CountsOf(1000) == UsageCounts{{"acme", 2}});
+  // Too late is as late as for other windows, but an earlier holder's miss.
+  CHECK(ledger.TakeMissed(After(15000)) == 0);
+  CHECK_FALSE(ledger.NextDue({"a"}, After(15000)));
+}
+
 TEST_CASE("a window that can't be reported in time is missed") {
   UsageLedger ledger(kOptions);
   CHECK(ledger.TakeMissed(After(10)) == 0);
--- a/leverwick/usage_windows.cc
+++ b/leverwick/usage_windows.cc
@@ -61,9 +61,7 @@
 
 void UsageLedger::Record(const std::string& box, const BoxUsage& usage,
                          WallTime now) {
-  while (!windows_.empty() && IsLate(windows_.begin()->first, now)) {
-    windows_.erase(windows_.begin());
-  }
+  DiscardLate(now);
   if (IsLate(usage.window, now)) return;
   BoxUsage& known = windows_[usage.window][box];
   // Messages may overtake each other.
@@ -71,6 +69,18 @@
   known = usage;
 }
 
+void UsageLedger::DiscardLate(WallTime now) {
+  while (!windows_.empty() && IsLate(windows_.begin()->first, now)) {
+    windows_.erase(windows_.begin());
+  }
+  // Kept until a window can't be counted as missed any more.
+  UsageWindow kept_from = counted_from_.value_or(0);
+  while (!reported_.empty() && IsLate(*reported_.begin(), now) &&
+         *reported_.begin() < kept_from) {
+    reported_.erase(reported_.begin());
+  }
+}
+
 bool UsageLedger::IsLate(UsageWindow window, WallTime now) const {
   return now >=
          UsageWindowEnd(window, options_.length) + options_.report_within;
@@ -120,11 +130,9 @@
   size_t missed = 0;
   while (*counted_from_ < current && IsLate(*counted_from_, now)) {
     if (reported_.count(*counted_from_) == 0) ++missed;
-    reported_.erase(*counted_from_);
-    windows_.erase(*counted_from_);
     ++*counted_from_;
   }
-  windows_.erase(windows_.begin(), windows_.lower_bound(*counted_from_));
+  DiscardLate(now);
   return missed;
 }
 
--- a/leverwick/usage_windows.h
+++ b/leverwick/usage_windows.h
@@ -105,6 +105,7 @@
   using ByBox = std::map<std::string, BoxUsage>;
 
   bool IsLate(UsageWindow window, WallTime now) const;
+  void DiscardLate(WallTime now);
   bool IsComplete(UsageWindow window,
                   const std::vector<std::string>& boxes) const;
 
