What is known of a box stands with its entry in the list of boxes to forward to

Cause: a choice looked up each box by name in a second map, and the states of boxes that had left the list needed an expiry of their own. Change: one list with state; data centres by index; no expiry.

--- a/bench/forwarding.cc
+++ b/bench/forwarding.cc
@@ -2,6 +2,8 @@
 // from all endpoints, for fleets and partitions of several sizes.
 
 #include <cstdio>
+#include <string>
+#include <vector>
 
 #include "leverwick/testing/forwarding_simulation.h"
 
@@ -22,6 +24,26 @@
               result.imbalance());
 }
 
+// Time of one choice while nothing declines.
+void PrintPick(size_t boxes) {
+  constexpr int kPicks = 20000;
+  ForwardTargets targets("dc0");
+  std::vector<ForwardPeer> peers;
+  for (size_t box = 0; box < boxes; ++box) {
+    std::string name = "box-" + std::to_string(box);
+    peers.push_back({name, "dc" + std::to_string(box % 39), name});
+  }
+  targets.SetPeers(peers);
+  TimePoint begin = Clock::now();
+  size_t found = 0;
+  for (int i = 0; i < kPicks; ++i) {
+    if (targets.Pick({"box-0"}, {0.3, 0.7}, begin) != nullptr) ++found;
+  }
+  double microseconds = 1e6 * ToSeconds(Clock::now() - begin) / kPicks;
+  std::printf("%zu boxes: %.1f us a choice (%zu)\n", boxes, microseconds,
+              found);
+}
+
 }  // namespace
 }  // namespace leverwick
 
@@ -37,5 +59,6 @@
       leverwick::Print(boxes, part);
     }
   }
+  for (size_t boxes : leverwick::kSizes) leverwick::PrintPick(boxes);
   return 0;
 }
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -262,7 +262,6 @@
   backoffs_.Expire(now);
   brittle_.Expire(now);
   partition_.Tick(now);
-  forwarder_.Expire(now);
   for (const EndpointRun& run : ends_.TakeSurvived(now)) {
     poison_.RecordSurvivedRun(run, now);
   }
--- a/daemon/request_forwarder.h
+++ b/daemon/request_forwarder.h
@@ -51,8 +51,6 @@
   void StopIntake() { takes_requests_ = false; }
   bool takes_requests() const { return takes_requests_; }
 
-  void Expire(TimePoint now) { targets_.Expire(now); }
-
  private:
   const std::string box_;
   Metrics* const metrics_;
--- a/leverwick/forward_targets.cc
+++ b/leverwick/forward_targets.cc
@@ -1,6 +1,7 @@
 #include "leverwick/forward_targets.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace leverwick {
 namespace {
@@ -38,119 +39,118 @@
   return kNames[static_cast<int>(outcome)];
 }
 
-void ForwardTargets::SetPeers(std::vector<ForwardPeer> peers) {
-  peers_ = std::move(peers);
-  std::sort(peers_.begin(), peers_.end(),
-            [](const ForwardPeer& a, const ForwardPeer& b) {
-              return a.name < b.name;
-            });
+size_t ForwardTargets::DataCentreIndex(const std::string& name) {
+  auto [found, is_new] =
+      data_centre_indexes_.emplace(name, data_centres_.size());
+  if (is_new) data_centres_.emplace_back();
+  return found->second;
 }
 
-ForwardTargets::Peers ForwardTargets::EligiblePeers(
-    const std::set<std::string>& excluded, TimePoint now) const {
-  Peers eligible;
-  for (const ForwardPeer& peer : peers_) {
-    if (excluded.count(peer.name) > 0) continue;
-    auto state = states_.find(peer.name);
-    bool is_blocked =
-        state != states_.end() && now < state->second.blocked_until;
-    if (!is_blocked) eligible.push_back(&peer);
+void ForwardTargets::SetPeers(std::vector<ForwardPeer> peers) {
+  std::vector<Peer> earlier;
+  earlier.swap(peers_);
+  peers_.reserve(peers.size());
+  for (ForwardPeer& listed : peers) {
+    Peer peer;
+    peer.data_centre = DataCentreIndex(listed.data_centre);
+    peer.listed = std::move(listed);
+    peers_.push_back(std::move(peer));
+  }
+  std::sort(peers_.begin(), peers_.end(), [](const Peer& a, const Peer& b) {
+    return a.listed.name < b.listed.name;
+  });
+  for (Peer& before : earlier) {
+    Peer* peer = Find(before.listed.name);
+    if (peer == nullptr) continue;
+    before.listed = std::move(peer->listed);
+    before.data_centre = peer->data_centre;
+    *peer = std::move(before);
   }
-  return eligible;
 }
 
-bool ForwardTargets::IsBlocked(const std::string& data_centre,
-                               TimePoint now) const {
-  auto found = data_centres_.find(data_centre);
-  return found != data_centres_.end() && now < found->second.blocked_until;
+ForwardTargets::Peer* ForwardTargets::Find(const std::string& name) {
+  auto found = std::lower_bound(peers_.begin(), peers_.end(), name,
+                                [](const Peer& peer, const std::string& key) {
+                                  return peer.listed.name < key;
+                                });
+  bool is_listed = found != peers_.end() && found->listed.name == name;
+  return is_listed ? &*found : nullptr;
 }
 
-ForwardTargets::Peers ForwardTargets::NearestOf(const Peers& eligible,
-                                                TimePoint now) const {
+ForwardTargets::Peers ForwardTargets::NearestEligible(
+    const std::set<std::string>& excluded, TimePoint now) const {
   Peers near;
   Peers far;
-  for (const ForwardPeer* peer : eligible) {
-    if (IsBlocked(peer->data_centre, now)) continue;
-    (peer->data_centre == data_centre_ ? near : far).push_back(peer);
+  Peers last;
+  for (const Peer& peer : peers_) {
+    if (now < peer.blocked_until) continue;
+    if (!excluded.empty() && excluded.count(peer.listed.name) > 0) continue;
+    bool is_last = now < data_centres_[peer.data_centre].blocked_until;
+    bool is_near = peer.listed.data_centre == data_centre_;
+    Peers& group = is_last ? last : is_near ? near : far;
+    group.push_back(&peer);
   }
   if (!near.empty()) return near;
-  return far.empty() ? eligible : far;
+  return far.empty() ? last : far;
 }
 
-bool ForwardTargets::IsAccepting(const State& state, TimePoint now) {
-  if (state.in_flight >= kMaxInFlightEach) return false;
-  bool is_serving =
-      state.in_flight > 0 && now - state.last_start >= kDeclineTime;
+bool ForwardTargets::IsAccepting(const Peer& peer, TimePoint now) {
+  if (peer.in_flight >= kMaxInFlightEach) return false;
+  bool is_serving = peer.in_flight > 0 && now - peer.last_start >= kDeclineTime;
   bool has_served =
-      state.last_served != TimePoint{} && now - state.last_served < kMemory;
+      peer.last_served != TimePoint{} && now - peer.last_served < kMemory;
   return is_serving || has_served;
 }
 
-ForwardTargets::Peers ForwardTargets::AcceptingOf(const Peers& peers,
+ForwardTargets::Peers ForwardTargets::AcceptingOf(Peers peers,
                                                   TimePoint now) const {
   bool do_decline =
       last_failure_ != TimePoint{} && now - last_failure_ < kMemory;
   if (!do_decline) return peers;
   Peers accepting;
-  for (const ForwardPeer* peer : peers) {
-    auto state = states_.find(peer->name);
-    bool accepts = state != states_.end() && IsAccepting(state->second, now);
-    if (accepts) accepting.push_back(peer);
-  }
+  std::copy_if(peers.begin(), peers.end(), std::back_inserter(accepting),
+               [now](const Peer* peer) { return IsAccepting(*peer, now); });
   return accepting.empty() ? peers : accepting;
 }
 
-size_t ForwardTargets::InFlight(const ForwardPeer& peer) const {
-  auto state = states_.find(peer.name);
-  return state == states_.end() ? 0 : state->second.in_flight;
-}
-
 const ForwardPeer* ForwardTargets::Pick(const std::set<std::string>& excluded,
                                         const Draws& draws,
                                         TimePoint now) const {
-  Peers peers = AcceptingOf(NearestOf(EligiblePeers(excluded, now), now), now);
+  Peers peers = AcceptingOf(NearestEligible(excluded, now), now);
   if (peers.empty()) return nullptr;
-  const ForwardPeer* first = peers[IndexFor(draws.first, peers.size())];
-  const ForwardPeer* second = peers[IndexFor(draws.second, peers.size())];
-  return InFlight(*second) < InFlight(*first) ? second : first;
-}
-
-std::string ForwardTargets::DataCentreOf(const std::string& peer) const {
-  auto found =
-      std::lower_bound(peers_.begin(), peers_.end(), peer,
-                       [](const ForwardPeer& listed, const std::string& name) {
-                         return listed.name < name;
-                       });
-  bool is_listed = found != peers_.end() && found->name == peer;
-  return is_listed ? found->data_centre : "";
+  const Peer* first = peers[IndexFor(draws.first, peers.size())];
+  const Peer* second = peers[IndexFor(draws.second, peers.size())];
+  return second->in_flight < first->in_flight ? &second->listed
+                                              : &first->listed;
 }
 
-void ForwardTargets::RecordStart(const std::string& peer, TimePoint now) {
-  State& state = states_[peer];
-  ++state.in_flight;
-  state.last_start = now;
+void ForwardTargets::RecordStart(const std::string& name, TimePoint now) {
+  Peer* peer = Find(name);
+  if (peer == nullptr) return;
+  ++peer->in_flight;
+  peer->last_start = now;
 }
 
-void ForwardTargets::RecordEnd(const std::string& peer, ForwardOutcome outcome,
+void ForwardTargets::RecordEnd(const std::string& name, ForwardOutcome outcome,
                                TimePoint now) {
-  State& state = states_[peer];
-  if (state.in_flight > 0) --state.in_flight;
+  Peer* peer = Find(name);
+  if (peer == nullptr) return;
+  if (peer->in_flight > 0) --peer->in_flight;
   if (outcome == ForwardOutcome::kAborted) return;
   if (outcome != ForwardOutcome::kServed) return RecordFailure(peer, now);
-  state.failures = 0;
-  state.blocked_until = TimePoint{};
-  state.last_served = now;
-  data_centres_.erase(DataCentreOf(peer));
+  peer->failures = 0;
+  peer->blocked_until = TimePoint{};
+  peer->last_served = now;
+  data_centres_[peer->data_centre] = DataCentre();
 }
 
-void ForwardTargets::RecordFailure(const std::string& peer, TimePoint now) {
-  State& state = states_[peer];
+void ForwardTargets::RecordFailure(Peer* peer, TimePoint now) {
   last_failure_ = now;
-  state.last_served = TimePoint{};
+  peer->last_served = TimePoint{};
   // Requests that were in flight together count once.
-  if (now >= state.blocked_until) ++state.failures;
-  state.blocked_until = now + BlockTime(state.failures);
-  DataCentre& data_centre = data_centres_[DataCentreOf(peer)];
+  if (now >= peer->blocked_until) ++peer->failures;
+  peer->blocked_until = now + BlockTime(peer->failures);
+  DataCentre& data_centre = data_centres_[peer->data_centre];
   if (now < data_centre.blocked_until) return;
   ++data_centre.failures;
   if (data_centre.failures < kFailuresToBlockDataCentre) return;
@@ -158,13 +158,4 @@
       now + BlockTime(data_centre.failures - kFailuresToBlockDataCentre + 1);
 }
 
-void ForwardTargets::Expire(TimePoint now) {
-  for (auto entry = states_.begin(); entry != states_.end();) {
-    const State& state = entry->second;
-    TimePoint last_use = std::max(state.blocked_until, state.last_served);
-    bool is_unused = state.in_flight == 0 && now - last_use > kLongestBlock;
-    entry = is_unused ? states_.erase(entry) : std::next(entry);
-  }
-}
-
 }  // namespace leverwick
--- a/leverwick/forward_targets.h
+++ b/leverwick/forward_targets.h
@@ -64,16 +64,15 @@
   const ForwardPeer* Pick(const std::set<std::string>& excluded,
                           const Draws& draws, TimePoint now) const;
 
-  // Each start needs an end.
+  // Each start needs an end. Boxes that are not listed any more are ignored.
   void RecordStart(const std::string& peer, TimePoint now);
   void RecordEnd(const std::string& peer, ForwardOutcome outcome,
                  TimePoint now);
 
-  // Removes the state of boxes without requests in flight or recent failures.
-  void Expire(TimePoint now);
-
  private:
-  struct State {
+  struct Peer {
+    ForwardPeer listed;
+    size_t data_centre = 0;  // index in data_centres_
     size_t in_flight = 0;
     TimePoint last_start{};
     TimePoint last_served{};
@@ -81,29 +80,28 @@
     TimePoint blocked_until{};
   };
   struct DataCentre {
-    size_t failures = 0;  // in a row
+    size_t failures = 0;  // in a row, of any of its boxes
     TimePoint blocked_until{};
   };
-  using Peers = std::vector<const ForwardPeer*>;
+  using Peers = std::vector<const Peer*>;
 
-  Peers EligiblePeers(const std::set<std::string>& excluded,
-                      TimePoint now) const;
-  // Returns those of the own data centre, or else those of the others. Data
-  // centres that are left out come last.
-  Peers NearestOf(const Peers& eligible, TimePoint now) const;
+  // Returns the boxes that are not left out: those of the own data centre, or
+  // else those of the others. Data centres that are left out come last.
+  Peers NearestEligible(const std::set<std::string>& excluded,
+                        TimePoint now) const;
   // Returns those that accept requests at present; all if boxes hardly decline,
   // or if none is known to accept more.
-  Peers AcceptingOf(const Peers& peers, TimePoint now) const;
-  static bool IsAccepting(const State& state, TimePoint now);
-  bool IsBlocked(const std::string& data_centre, TimePoint now) const;
-  size_t InFlight(const ForwardPeer& peer) const;
-  std::string DataCentreOf(const std::string& peer) const;
-  void RecordFailure(const std::string& peer, TimePoint now);
+  Peers AcceptingOf(Peers peers, TimePoint now) const;
+  static bool IsAccepting(const Peer& peer, TimePoint now);
+  // Returns null if the box is not listed.
+  Peer* Find(const std::string& name);
+  size_t DataCentreIndex(const std::string& name);
+  void RecordFailure(Peer* peer, TimePoint now);
 
   const std::string data_centre_;
-  std::vector<ForwardPeer> peers_;  // by name
-  std::map<std::string, State> states_;
-  std::map<std::string, DataCentre> data_centres_;
+  std::vector<Peer> peers_;  // by name
+  std::map<std::string, size_t> data_centre_indexes_;
+  std::vector<DataCentre> data_centres_;
   TimePoint last_failure_{};  // of any box
 };
 
--- a/leverwick/testing/forward_targets_test.cc
+++ b/leverwick/testing/forward_targets_test.cc
@@ -84,10 +84,22 @@
   CHECK(Pick() == "d");
 }
 
+TEST_CASE_FIXTURE(Fixture, "what is known of a box outlives a new list") {
+  End("near1", ForwardOutcome::kDeclined);
+  targets.RecordStart("near2", now);
+  targets.SetPeers({{"near1", "dc1", "n1"}, {"near2", "dc1", "moved"}});
+  const ForwardPeer* peer = targets.Pick({}, kDraws, now);
+  REQUIRE(peer != nullptr);
+  CHECK(peer->address == "moved");
+  // Neither the decline nor the request in flight is forgotten.
+  now += std::chrono::seconds(6);
+  CHECK(Pick() == "near1");
+}
+
 TEST_CASE_FIXTURE(Fixture, "a caller that leaves says nothing of a box") {
   End("near1", ForwardOutcome::kAborted);
   CHECK(Pick() == "near1");
-  targets.Expire(now + std::chrono::seconds(10));
+  End("gone", ForwardOutcome::kFailed);
   CHECK(Pick() == "near1");
 }
 
