The tests of the shared log stand in two files, their boxes in a header

Cause: one file of 650 lines held a store, boxes, and the tests of one pair of boxes, of several data centres and of the list of boxes. Change: shared_log_site.h has the boxes, shared_log_test a pair of them, shared_log_fleet_test data centres and the list. No test changed.

--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -1,199 +1,31 @@
-// Boxes that read a store's log from each other, over loopback.
+// A box that reads the store's log, and one that reads from it.
 
 #include "daemon/shared_log.h"
 
 #include <doctest/doctest.h>
 
 #include <boost/asio/post.hpp>
-#include <list>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "daemon/log_boxes.h"
-#include "daemon/log_server.h"
-#include "daemon/topic_follower.h"
-#include "leverwick/result.h"
+#include "daemon/testing/shared_log_site.h"
 #include "net/http_call.h"
 #include "net/testing/collected_answer.h"
-#include "net/testing/free_port.h"
 #include "net/testing/raw_peer.h"
-#include "net/testing/test_loop.h"
 
 namespace leverwick {
 namespace {
 
-constexpr char kTopic[] = "t";
-constexpr milliseconds kHeld{100};
-constexpr milliseconds kMostAge{300};
-
-// A store in memory that can be away.
-class MemoryLog : public KeyedLog {
- public:
-  explicit MemoryLog(boost::asio::io_context* loop) : loop_(loop) {}
-
-  void Put(const std::string& key, std::optional<std::string> value) {
-    records_.push_back({key, std::move(value)});
-    newest_[key] = records_.back();
-    std::list<Held> held;
-    held.swap(held_);
-    for (Held& read : held) AnswerRead(read.query, read.callback);
-  }
-
-  void Read(const LogQuery& query, ReadCallback callback) override {
-    ++calls;
-    if (away) {
-      boost::asio::post(*loop_,
-                        [callback, why = away_why] { callback(why, {}); });
-      return;
-    }
-    bool hold = query.max_wait.count() > 0 && query.from >= records_.size();
-    if (!hold) return AnswerRead(query, callback);
-    held_.push_back({query, callback, Clock::now()});
-    auto timer = std::make_shared<boost::asio::steady_timer>(*loop_);
-    timer->expires_after(query.max_wait);
-    timer->async_wait([this, timer](auto) { AnswerOverdue(); });
-  }
-
-  void ReadNewest(const LogQuery&, const std::string&,
-                  NewestCallback callback) override {
-    ++calls;
-    NewestPage page;
-    for (const auto& record : newest_) page.records.push_back(record.second);
-    page.end = records_.size();
-    page.as_of = Clock::now();
-    std::error_code error;
-    if (away) error = Result::kUnreachable;
-    boost::asio::post(*loop_,
-                      [callback, error, page] { callback(error, page); });
-  }
-
-  void Append(const std::string&, const KeyedRecord& record,
-              std::optional<uint64_t>, AppendCallback callback) override {
-    ++calls;
-    boost::asio::post(*loop_, [this, record, callback] {
-      Put(record.key, record.value);
-      callback({});
-    });
-  }
-
-  const std::map<std::string, KeyedRecord>& newest() const { return newest_; }
-
-  bool away = false;
-  Result away_why = Result::kUnreachable;
-  int calls = 0;
-
- private:
-  struct Held {
-    LogQuery query;
-    ReadCallback callback;
-    TimePoint asked_at;
-  };
-
-  void AnswerRead(const LogQuery& query, const ReadCallback& callback,
-                  TimePoint as_of = Clock::now()) {
-    LogPage page;
-    auto from = static_cast<std::ptrdiff_t>(query.from);
-    page.records.assign(records_.begin() + from, records_.end());
-    page.next = page.end = records_.size();
-    page.as_of = as_of;
-    boost::asio::post(*loop_, [callback, page] { callback({}, page); });
-  }
-
-  void AnswerOverdue() {
-    while (!held_.empty()) {
-      Held read = held_.front();
-      if (Clock::now() - read.asked_at < read.query.max_wait) return;
-      held_.pop_front();
-      AnswerRead(read.query, read.callback, read.asked_at);
-    }
-  }
-
-  boost::asio::io_context* const loop_;
-  std::vector<KeyedRecord> records_;
-  std::map<std::string, KeyedRecord> newest_;
-  std::list<Held> held_;
-};
-
-// What a follower tells, in order.
-class Told : public TopicFollower::Listener {
- public:
-  void OnSnapshot(const std::vector<KeyedRecord>& records) override {
-    for (const KeyedRecord& record : records) OnRecord(record);
-  }
-  void OnRecord(const KeyedRecord& record) override {
-    events.push_back(record.key + "=" + record.value.value_or("-"));
-    state[record.key] = record.value.value_or("-");
-  }
-  void OnRead(TimePoint as_of_in) override { as_of = as_of_in; }
-  void OnReadFailed(std::error_code) override { events.push_back("failed"); }
-
-  std::map<std::string, std::string> state;
-  std::vector<std::string> events;
-  TimePoint as_of{};
-};
-
-std::string AddressOf(const boost::asio::ip::tcp::endpoint& endpoint) {
-  return "127.0.0.1:" + std::to_string(endpoint.port());
-}
-
-// One box: a follower of the topic, shared with others.
-class Box {
- public:
-  Box(boost::asio::io_context* loop, KeyedLog* store, const LogBox& self)
-      : log(loop, store, self, 1, &metrics),
-        follower(loop, &log, {kTopic, kHeld, milliseconds(0), kMostAge}, &told),
-        server(loop) {
-    server.Share(kTopic, follower.cache());
-  }
-
-  void Listen(const boost::asio::ip::tcp::endpoint& endpoint) {
-    REQUIRE_FALSE(server.Listen(endpoint));
-  }
-
-  Metrics metrics;
-  SharedLog log;
-  Told told;
-  TopicFollower follower;
-  LogServer server;
-};
-
-// A reader and a box that reads from it, each with its own way to the store.
-class Pair {
- public:
-  Pair()
-      : store(&loop),
-        other_way(&loop),
-        endpoint(FreePort(&loop)),
-        reader_self{"a", AddressOf(endpoint), 2},
-        second_self{"b", "127.0.0.1:1", 1},
-        reader(std::make_unique<Box>(&loop, &store, reader_self)),
-        second(&loop, &other_way, second_self) {
-    reader->Listen(endpoint);
-    reader->follower.Start();
-    REQUIRE(RunUntil(&loop, [&] { return reader->follower.has_snapshot(); }));
-    reader->log.SetBoxes({reader_self, second_self});
-    second.log.SetBoxes({reader_self, second_self});
-    second.follower.Start();
-    REQUIRE(RunUntil(&loop, [&] { return second.follower.has_snapshot(); }));
-  }
-
-  // Both ways lead to the same records; only the calls are counted apart.
-  void Put(const std::string& key, std::optional<std::string> value) {
-    store.Put(key, value);
-    other_way.Put(key, value);
-  }
-
-  boost::asio::io_context loop;
-  MemoryLog store;
-  MemoryLog other_way;
-  boost::asio::ip::tcp::endpoint endpoint;
-  LogBox reader_self;
-  LogBox second_self;
-  std::unique_ptr<Box> reader;
-  Box second;
-};
+using shared_log_testing::AddressOf;
+using shared_log_testing::Box;
+using shared_log_testing::kHeld;
+using shared_log_testing::kMostAge;
+using shared_log_testing::kTopic;
+using shared_log_testing::MemoryLog;
+using shared_log_testing::Pair;
+using shared_log_testing::Told;
 
 TEST_CASE("a box learns all from the reader, at once, without the store") {
   Pair pair;
@@ -512,139 +344,5 @@
   CHECK(site.second.told.as_of <= asked_at - milliseconds(95));
 }
 
-// The first boxes of two data centres, each with its own way to the store. One
-// of them freezes when its loop is not run any more.
-class TwoDataCentres {
- public:
-  explicit TwoDataCentres(size_t boxes)
-      : store(&root_loop),
-        other_way(&loop),
-        endpoint(FreePort(&root_loop)),
-        root_self{"a", AddressOf(endpoint), 2},
-        other_self{"b", "127.0.0.1:1", 1},
-        root(&root_loop, &store, root_self),
-        other(&loop, &other_way, other_self) {
-    root.Listen(endpoint);
-    Put("k", "1");
-    for (Box* box : {&root, &other}) {
-      box->log.ShareAcrossFleet(kTopic);
-      box->log.SetFirstBoxes({root_self, other_self}, boxes);
-      box->follower.Start();
-    }
-    REQUIRE(RunBoth([&] { return Knows("1"); }));
-  }
-
-  // Both ways lead to the same records; only the calls are counted apart.
-  void Put(const std::string& key, const std::string& value) {
-    store.Put(key, value);
-    other_way.Put(key, value);
-  }
-  bool Knows(const std::string& value) {
-    return root.told.state["k"] == value && other.told.state["k"] == value;
-  }
-  bool RunBoth(const std::function<bool()>& happened) {
-    return RunUntil(&loop, [&] {
-      root_loop.poll();
-      return happened();
-    });
-  }
-
-  boost::asio::io_context root_loop;
-  boost::asio::io_context loop;
-  MemoryLog store;
-  MemoryLog other_way;
-  boost::asio::ip::tcp::endpoint endpoint;
-  LogBox root_self;
-  LogBox other_self;
-  Box root;
-  Box other;
-};
-
-TEST_CASE("in a large fleet one box reads a topic for all data centres") {
-  TwoDataCentres fleet(1000);
-  fleet.Put("k", "2");
-  REQUIRE(fleet.RunBoth([&] { return fleet.Knows("2"); }));
-  // Reads go on, by one way only; a box whose answer is late is passed over for
-  // a while.
-  REQUIRE(RunUntil(&fleet.loop, [&] {
-    int before = fleet.other_way.calls;
-    int root_before = fleet.store.calls;
-    TimePoint end = Clock::now() + 3 * kHeld;
-    fleet.RunBoth([&] { return Clock::now() > end; });
-    return fleet.other_way.calls == before && fleet.store.calls > root_before;
-  }));
-  CHECK_FALSE(fleet.other.log.ReadsStore(kTopic));
-  CHECK(fleet.root.log.ReadsStore(kTopic));
-  // Boxes that have just started ask again for a while.
-  TimePoint settled = Clock::now() + milliseconds(700);
-  fleet.RunBoth([&] { return Clock::now() > settled; });
-  // It freezes: the other data centre reads for itself, within the age that an
-  // answer may have, the wait for one and a read of the store.
-  TimePoint frozen = Clock::now();
-  fleet.Put("k", "3");
-  REQUIRE(RunUntil(&fleet.loop,
-                   [&] { return fleet.other.told.state["k"] == "3"; }));
-  CHECK(Clock::now() - frozen < kMostAge + milliseconds(500));
-}
-
-TEST_CASE("in a small fleet each data centre reads for itself") {
-  TwoDataCentres fleet(100);
-  CHECK(fleet.other.log.ReadsStore(kTopic));
-  int before = fleet.other_way.calls;
-  fleet.Put("k", "2");
-  REQUIRE(fleet.RunBoth([&] { return fleet.other.told.state["k"] == "2"; }));
-  CHECK(fleet.other_way.calls > before);
-}
-
-// The list of a data centre's boxes, kept by the boxes.
-class ListedBox {
- public:
-  ListedBox(boost::asio::io_context* loop, MemoryLog* store, const LogBox& self)
-      : log(loop, store, self, 1, &metrics),
-        boxes(loop, &log, self, "dc", "boxes") {
-    boxes.Start(false, [this] { ready = true; });
-  }
-
-  Metrics metrics;
-  SharedLog log;
-  LogBoxes boxes;
-  bool ready = false;
-};
-
-TEST_CASE("a box enters itself, and again when its entry was dropped") {
-  boost::asio::io_context loop;
-  MemoryLog store(&loop);
-  store.Put("elsewhere", R"({"dataCentre":"far","address":"127.0.0.1:2"})");
-  store.Put("broken", "no entry");
-  ListedBox box(&loop, &store, {"a", "127.0.0.1:1", 1});
-  REQUIRE(RunUntil(&loop, [&] { return store.newest().count("a") > 0; }));
-  CHECK(box.ready);
-  CHECK(box.boxes.size() == 0);  // as long as it has not read its own entry
-  store.Put("a", std::nullopt);
-  REQUIRE(RunUntil(
-      &loop, [&] { return store.newest().at("a").value.has_value(); },
-      std::chrono::seconds(20)));
-}
-
-TEST_CASE("the entry of a box that is lost for long is dropped") {
-  boost::asio::io_context loop;
-  MemoryLog store(&loop);
-  // Nothing listens there.
-  std::string address = AddressOf(FreePort(&loop));
-  store.Put("gone", R"({"dataCentre":"dc","address":")" + address +
-                        R"(","capacity":9})");
-  ListedBox box(&loop, &store, {"a", "127.0.0.1:1", 1});
-  REQUIRE(RunUntil(&loop, [&] { return box.ready; }));
-  bool asked = false;
-  box.log.Read({kTopic, 0, kHeld, false, kMostAge},
-               [&](std::error_code, LogPage) { asked = true; });
-  REQUIRE(RunUntil(&loop, [&] { return asked; }));
-  box.boxes.Tick(Clock::now() + std::chrono::seconds(59));
-  CHECK(box.boxes.size() == 1);
-  box.boxes.Tick(Clock::now() + std::chrono::seconds(91));
-  CHECK(box.boxes.size() == 0);
-  REQUIRE(RunUntil(&loop, [&] { return !store.newest().at("gone").value; }));
-}
-
 }  // namespace
 }  // namespace leverwick
