--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -110,7 +110,7 @@
   void OnAnswerEnd() override;
   void OnCallFailed(const ClientCall::Failure& failure) override;
 
-  // Judging a try.
+  // Judging a try; in relayed_request_answer.cc.
   // The request has begun to run.
   void NoteRun();
   bool IsTooWeak();
@@ -172,6 +172,8 @@
   // One line for a request that ended, with all that decided it.
   void TellEnd(const char* outcome);
 
+  // A try with less time than this is not begun: it could not be answered.
+  static constexpr milliseconds kLeastTime{30};
   milliseconds TimeLeft(TimePoint now) const;
 
   Relay* const relay_;
--- a/daemon/relayed_request_forward.cc
+++ b/daemon/relayed_request_forward.cc
@@ -17,7 +17,6 @@
 // Refused connections of one request after which it is forwarded. A connection
 // that timed out is enough, since it has used up much of the caller's time.
 constexpr int kFailedConnects = 5;
-constexpr milliseconds kLeastTime{30};
 
 }  // namespace
 
