A daemon that is signalled while it starts is not ended by the signal

Its trace: the box started at 15.922 s, was told of a change of its settings at 15.929 s, and ended of that SIGHUP before it had a handler; the runner noticed at 16.567 s. Cause: from its first instruction until the event loop has its handlers a process has the default action of SIGHUP and SIGTERM, which ends it: no planned stop, and its operator sees a crash. Change: the signals are blocked first thing in main, and let in once there are handlers; threads inherit the mask. The runners start programs with them blocked, since what is sent before a program is loaded no program can handle. Shown: two tests, each failing in 6 of 6 runs before (one ended by the signal, the other with 143 in place of 0) and passing in 6 of 6 after.

--- a/app/leverwickd.cc
+++ b/app/leverwickd.cc
@@ -62,6 +62,8 @@
   int Run() {
     if (front_.Start()) return kCantStart;
     AwaitSignal();
+    sigset_t handled = leverwick::DaemonSignals();
+    pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
     WatchFile();
     loop_.run();
     return cut_ == 0 ? 0 : kCutRequests;
@@ -146,6 +148,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  sigset_t unhandled = leverwick::DaemonSignals();
+  pthread_sigmask(SIG_BLOCK, &unhandled, nullptr);
   CLI::App app{"leverwickd routes requests to versions of language models."};
   Options options;
   app.add_option("-c,--config", options.config, "Settings file (YAML).");
--- a/scenario/process.cc
+++ b/scenario/process.cc
@@ -8,6 +8,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "app/stop_signal.h"
+
 namespace leverwick {
 namespace {
 
@@ -26,8 +28,15 @@
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
   arguments.push_back(nullptr);
+  // A signal that is sent before the program is loaded waits for it.
+  sigset_t signals = DaemonSignals();
+  sigset_t before;
+  pthread_sigmask(SIG_BLOCK, &signals, &before);
   pid_ = fork();
-  if (pid_ != 0) return;
+  if (pid_ != 0) {
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    return;
+  }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(out, STDOUT_FILENO);
