Connections that are accepted and closed unanswered are signs of a partition

What callers see: at a box cut off by something that accepts its connections and resets them, no request was served, while the other boxes served all. Cause: an accepted connection was taken for a contact with the endpoint, and a call that failed after its first byte never counted against the path. Change: PartitionDetector knows a third kind of failure, a new connection that closes before any byte of a response. After one, accepted connections are no contact until an endpoint of the service has responded; a test connection then has to stay open for 200 ms. Refused and timed out connections count as before, and with none of the new kind nothing else changes. Not covered: a path that accepts and then falls silent.

--- a/daemon/partition_watch.cc
+++ b/daemon/partition_watch.cc
@@ -1,5 +1,7 @@
 #include "daemon/partition_watch.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <optional>
 #include <set>
 #include <utility>
@@ -12,6 +14,9 @@
 const Log kLog("partition");
 
 constexpr milliseconds kProbeTime{400};
+// How long an accepted test connection must stay open where accepted ones were
+// closed before: a round trip between far data centres, in which a close comes.
+constexpr milliseconds kStayTime{200};
 // A connection that timed out shortly before the partition was noticed failed
 // because of it.
 constexpr milliseconds kNoticeTime{2000};
@@ -27,13 +32,51 @@
   return std::nullopt;
 }
 
+// Tells whether an accepted connection stays open for kStayTime.
+class StayTest : public TcpConnection::Observer,
+                 public std::enable_shared_from_this<StayTest> {
+ public:
+  using Callback = std::function<void(bool stayed)>;
+
+  StayTest(boost::asio::io_context* loop, std::shared_ptr<TcpConnection> tcp,
+           Callback callback)
+      : timer_(*loop), tcp_(std::move(tcp)), callback_(std::move(callback)) {}
+
+  void Start() {
+    timer_.expires_after(kStayTime);
+    timer_.async_wait([self = shared_from_this()](auto error) {
+      if (!error) self->End(true);
+    });
+    tcp_->Start(this);
+  }
+
+ private:
+  void OnBytes(std::string_view) override { End(true); }
+  void OnClosed(std::error_code) override { End(false); }
+
+  void End(bool stayed) {
+    if (tcp_ == nullptr) return;
+    auto self = shared_from_this();
+    timer_.cancel();
+    auto tcp = std::move(tcp_);
+    tcp->Close();
+    callback_(stayed);
+  }
+
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<TcpConnection> tcp_;
+  const Callback callback_;
+};
+
 }  // namespace
 
-PartitionWatch::PartitionWatch(EndpointPool* pool,
+PartitionWatch::PartitionWatch(boost::asio::io_context* loop,
+                               EndpointPool* pool,
                                const EndpointDirectory* directory,
                                Reachability* reach,
                                HttpConnections* connections, Metrics* metrics)
-    : pool_(pool),
+    : loop_(loop),
+      pool_(pool),
       directory_(directory),
       reach_(reach),
       connections_(connections),
@@ -49,13 +92,27 @@
                                    const std::string& endpoint,
                                    std::error_code error) {
   auto failure = FailureOf(error);
-  if (!failure) return;
+  if (failure) Record(service, endpoint, *failure);
+}
+
+void PartitionWatch::ClosedUnanswered(const std::string& service,
+                                      const std::string& endpoint) {
+  Record(service, endpoint, PartitionDetector::Failure::kClosed);
+}
+
+void PartitionWatch::Record(const std::string& service,
+                            const std::string& endpoint,
+                            PartitionDetector::Failure failure) {
   TimePoint now = Clock::now();
-  detector_.RecordConnectFailure(service, endpoint, *failure,
+  detector_.RecordConnectFailure(service, endpoint, failure,
                                  pool_->CountUsable(service), now);
   OpenDueProbes(now);
 }
 
+void PartitionWatch::Accepted(const std::string& service) {
+  detector_.RecordAccept(service, Clock::now());
+}
+
 void PartitionWatch::Contacted(const std::string& service) {
   detector_.RecordContact(service, Clock::now());
 }
@@ -120,11 +177,16 @@
 void PartitionWatch::OpenTo(const std::string& service,
                             const DirectoryEntry& endpoint) {
   metrics_->Add("leverwick_partition_probes_total", "", 1);
-  auto opened = [this, service, id = endpoint.id](std::error_code error,
-                                                  const auto& tcp) {
-    if (tcp != nullptr) tcp->Close();
+  auto tested = [this, service, id = endpoint.id](bool stayed) {
+    if (stayed) return Contacted(service);
+    ClosedUnanswered(service, id);
+  };
+  auto opened = [this, service, id = endpoint.id, tested](
+                    std::error_code error,
+                    const std::shared_ptr<TcpConnection>& tcp) {
     if (error) return ConnectFailed(service, id, error);
-    Contacted(service);
+    if (detector_.RecordAccept(service, Clock::now())) return tcp->Close();
+    std::make_shared<StayTest>(loop_, tcp, tested)->Start();
   };
   connections_->Connect(endpoint.address, kProbeTime, opened);
 }
--- a/daemon/partition_watch.h
+++ b/daemon/partition_watch.h
@@ -1,8 +1,11 @@
 // Watches whether this box is partitioned from the endpoints of a service, and
 // opens test connections while it is.
 //
-//   PartitionWatch watch(&pool, &directory, &reach, &connections, &metrics);
+//   PartitionWatch watch(&loop, &pool, &directory, &reach, &connections,
+//                        &metrics);
 //   watch.ConnectFailed(service, endpoint, error);
+//   watch.ClosedUnanswered(service, endpoint);
+//   watch.Accepted(service);
 //   watch.Contacted(service);
 //   if (watch.IsPartitioned(service)) ...
 //   watch.Tick(now);  // a few times a second
@@ -10,6 +13,7 @@
 #ifndef DAEMON_PARTITION_WATCH_H_
 #define DAEMON_PARTITION_WATCH_H_
 
+#include <boost/asio/io_context.hpp>
 #include <random>
 #include <string>
 #include <system_error>
@@ -27,14 +31,19 @@
 class PartitionWatch {
  public:
   // All of them must outlive the watch.
-  PartitionWatch(EndpointPool* pool, const EndpointDirectory* directory,
-                 Reachability* reach, HttpConnections* connections,
-                 Metrics* metrics);
+  PartitionWatch(boost::asio::io_context* loop, EndpointPool* pool,
+                 const EndpointDirectory* directory, Reachability* reach,
+                 HttpConnections* connections, Metrics* metrics);
 
   // A call to the endpoint has failed before a byte of it was sent.
   void ConnectFailed(const std::string& service, const std::string& endpoint,
                      std::error_code error);
-  // An endpoint of the service accepted a connection or responded.
+  // A new connection to the endpoint was closed before any response.
+  void ClosedUnanswered(const std::string& service,
+                        const std::string& endpoint);
+  // An endpoint of the service accepted a connection.
+  void Accepted(const std::string& service);
+  // An endpoint of the service responded, or a connection to it stayed open.
   void Contacted(const std::string& service);
 
   bool IsPartitioned(const std::string& service) const {
@@ -48,12 +57,15 @@
   void Tick(TimePoint now);
 
  private:
+  void Record(const std::string& service, const std::string& endpoint,
+              PartitionDetector::Failure failure);
   void Changed(const std::string& service, bool is_partitioned,
                TimePoint since);
   void OpenDueProbes(TimePoint now);
   void Open(PartitionProbe probe, TimePoint now);
   void OpenTo(const std::string& service, const DirectoryEntry& endpoint);
 
+  boost::asio::io_context* const loop_;
   EndpointPool* const pool_;
   const EndpointDirectory* const directory_;
   Reachability* const reach_;
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -104,7 +104,7 @@
   void OnForwardFailed(bool sent) override;
 
   // ClientCall::Observer.
-  void OnConnected() override { relay_->partition_.Contacted(service_); }
+  void OnConnected() override { relay_->partition_.Accepted(service_); }
   bool OnAnswerHead(const HttpHead& head) override;
   void OnAnswerBody(std::string_view bytes) override;
   void OnAnswerEnd() override;
--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -210,6 +210,9 @@
     ++failed_connects_;
     relay_->partition_.ConnectFailed(service_, try_->endpoint, failure.error);
   }
+  if (failure.closed_unanswered) {
+    relay_->partition_.ClosedUnanswered(service_, try_->endpoint);
+  }
   relay_->loads_.RecordFailure(try_->ticket, try_->data_centre, Clock::now());
   std::string endpoint = try_->endpoint;
   // Before the next send: a run that begins after an end is not under it.
--- a/leverwick/partition_detector.cc
+++ b/leverwick/partition_detector.cc
@@ -38,6 +38,7 @@
   Service& state = services_[service];
   state.last_failure = now;
   state.last_kind = failure;
+  if (failure == Failure::kClosed) state.any_closed = true;
   if (state.failed_endpoints.size() >= kMaxExcluded) {
     state.failed_endpoints.clear();
   }
@@ -69,6 +70,15 @@
   on_change_(name, true, now);
 }
 
+bool PartitionDetector::RecordAccept(const std::string& service,
+                                     TimePoint now) {
+  auto found = services_.find(service);
+  if (found == services_.end()) return true;
+  if (found->second.any_closed) return false;
+  RecordContact(service, now);
+  return true;
+}
+
 void PartitionDetector::RecordContact(const std::string& service,
                                       TimePoint now) {
   auto found = services_.find(service);
@@ -76,6 +86,7 @@
   Service& state = found->second;
   state.failed_endpoints.clear();
   state.failures = 0;
+  state.any_closed = false;
   state.is_suspect = false;
   if (!state.is_partitioned) return;
   if (now - state.contacts_since > kContactWindow) {
--- a/leverwick/partition_detector.h
+++ b/leverwick/partition_detector.h
@@ -9,9 +9,14 @@
 // is over after several contacts within a short time; one that returns soon
 // after its end needs more of them.
 //
+// Something on the way may accept connections in the name of the endpoints and
+// then close them. Once a connection was closed unanswered, accepted ones are
+// no contact any more until an endpoint has responded.
+//
 //   PartitionDetector detector;
 //   detector.RecordConnectFailure(service, endpoint, error_kind, listed, now);
 //   for (const PartitionProbe& probe : detector.TakeDueProbes(now)) ...
+//   detector.RecordAccept(service, now);
 //   detector.RecordContact(service, now);
 //   if (detector.IsPartitioned(service)) ...  // forward the request
 
@@ -39,7 +44,8 @@
 // Not thread-safe.
 class PartitionDetector {
  public:
-  enum class Failure { kRefused, kTimedOut };
+  // kClosed: the connection was accepted and closed before any response.
+  enum class Failure { kRefused, kTimedOut, kClosed };
 
   // Called when a partition begins or ends; `since` is when it began.
   using ChangeCallback = std::function<void(
@@ -62,7 +68,11 @@
   void RecordConnectFailure(const std::string& service,
                             const std::string& endpoint, Failure failure,
                             size_t listed, TimePoint now);
-  // Records that an endpoint of the service accepted a connection or responded.
+  // Records that a connection to an endpoint of the service was accepted.
+  // Returns whether that counts as a contact.
+  bool RecordAccept(const std::string& service, TimePoint now);
+  // Records that an endpoint of the service responded, or that a connection to
+  // it stayed open.
   void RecordContact(const std::string& service, TimePoint now);
 
   bool IsPartitioned(const std::string& service) const;
@@ -88,6 +98,7 @@
     std::set<std::string> failed_endpoints;
     size_t failures = 0;
     Failure last_kind = Failure::kRefused;
+    bool any_closed = false;  // since the last contact
     TimePoint last_failure{};
     bool is_partitioned = false;
     TimePoint since{};
--- a/leverwick/testing/partition_detector_test.cc
+++ b/leverwick/testing/partition_detector_test.cc
@@ -19,6 +19,15 @@
     detector.RecordConnectFailure("s", std::to_string(endpoint),
                                   Failure::kRefused, kListed, now);
   }
+  void Close(int endpoint) {
+    now += milliseconds(10);
+    detector.RecordConnectFailure("s", std::to_string(endpoint),
+                                  Failure::kClosed, kListed, now);
+  }
+  bool Accept() {
+    now += milliseconds(10);
+    return detector.RecordAccept("s", now);
+  }
   void FailSix() {
     for (int endpoint = 0; endpoint < 6; ++endpoint) Fail(endpoint);
   }
@@ -50,6 +59,36 @@
   CHECK_FALSE(detector.IsPartitioned("s"));
 }
 
+TEST_CASE_FIXTURE(Fixture, "connections that are closed unanswered are one") {
+  for (int endpoint = 0; endpoint < 6; ++endpoint) {
+    CHECK(Accept() == (endpoint == 0));
+    CHECK_FALSE(detector.IsPartitioned("s"));
+    Close(endpoint);
+  }
+  CHECK(detector.IsPartitioned("s"));
+  for (int i = 0; i < 10; ++i) CHECK_FALSE(Accept());
+  CHECK(detector.IsPartitioned("s"));
+  CHECK_FALSE(detector.TakeTrial("s", now));
+  CHECK(ContactsToEnd() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a response makes accepted connections count again") {
+  for (int endpoint = 0; endpoint < 5; ++endpoint) Close(endpoint);
+  CHECK_FALSE(Accept());
+  Contact();
+  CHECK(Accept());
+  Close(5);
+  CHECK_FALSE(detector.IsPartitioned("s"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "an accepted connection is a contact") {
+  for (int endpoint = 0; endpoint < 5; ++endpoint) Fail(endpoint);
+  CHECK(Accept());
+  Fail(5);
+  CHECK_FALSE(detector.IsPartitioned("s"));
+}
+
 TEST_CASE_FIXTURE(Fixture, "six endpoints that fail in a row are one") {
   for (int endpoint = 0; endpoint < 5; ++endpoint) Fail(endpoint);
   CHECK_FALSE(detector.IsPartitioned("s"));
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -26,6 +26,13 @@
   return std::chrono::seconds(std::atol(field.c_str() + at + kName.size()));
 }
 
+// Whether the other side, or something on the way to it, closed a connection.
+bool IsClose(std::error_code error) {
+  return error == Result::kShortAnswer ||
+         error == std::errc::connection_reset ||
+         error == std::errc::broken_pipe;
+}
+
 }  // namespace
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
@@ -47,6 +54,7 @@
     call_->connection_ = shared_from_this();
     reader_.Reset();
     reusable_ = true;
+    ++calls_;
     tcp_->ForgetSent();
     tcp_->ResumeReading();
     tcp_->Write(std::move(call_->request_));
@@ -141,6 +149,8 @@
     failure.error = why ? why : ended;
     failure.sent = tcp_->any_sent();
     failure.garbled = garbled;
+    failure.closed_unanswered =
+        calls_ == 1 && !reader_.any_read() && IsClose(failure.error);
     Close();
     if (call != nullptr) call->observer_->OnCallFailed(failure);
   }
@@ -161,6 +171,7 @@
   std::shared_ptr<TcpConnection> tcp_;
   HttpReader reader_;
   std::shared_ptr<ClientCall> call_;
+  size_t calls_ = 0;
   bool reusable_ = true;
   bool dropping_ = false;  // reading an answer that is not this request's
   milliseconds usable_time_{0};
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -39,6 +39,9 @@
     std::error_code error;
     bool sent = false;     // a byte of the request may have arrived
     bool garbled = false;  // the bytes were no answer in the protocol
+    // The connection was opened for the call, and closed before any byte of the
+    // answer came.
+    bool closed_unanswered = false;
   };
 
   class Observer {
