The boxes' parts of a brittle endpoint add up to its capacity

What callers see: endpoints that say they are brittle fall, though each box keeps to its part. Cause: the remainder of capacity / boxes went to each box by a hash of box and endpoint, so the number of boxes with one more was a matter of chance: with many boxes all of a part is remainder. Change: the remainder goes to boxes whose ranks by name follow each other, from one on that a hash of the endpoint selects. It is exact while boxes have the same list of boxes; one more or fewer shifts an endpoint's part by one box. The whole-box test of falls passes.

--- a/leverwick/brittle_endpoints.cc
+++ b/leverwick/brittle_endpoints.cc
@@ -1,6 +1,7 @@
-// The remainder of a division goes to boxes that a hash selects, as does the
-// right to exceed a part in a period. The boxes need no common clock for it,
-// since each of them is selected independently.
+// The remainder of a division goes to boxes whose ranks follow each other, from
+// one on that a hash of the endpoint selects. The right to exceed a part in a
+// period goes to each box by a hash of its own, so that the boxes need no
+// common clock for it.
 
 #include "leverwick/brittle_endpoints.h"
 
@@ -23,8 +24,11 @@
 
 }  // namespace
 
-void BrittleEndpoints::SetBoxCount(size_t boxes) {
-  boxes_ = std::max<size_t>(1, boxes);
+void BrittleEndpoints::SetBoxes(const std::vector<std::string>& others) {
+  boxes_ = others.size() + 1;
+  rank_ = static_cast<size_t>(
+      std::count_if(others.begin(), others.end(),
+                    [this](const auto& name) { return name < box_; }));
 }
 
 bool BrittleEndpoints::RecordReport(const std::string& service,
@@ -51,9 +55,9 @@
 size_t BrittleEndpoints::CapacityShare(const std::string& endpoint,
                                        size_t max_in_flight) const {
   size_t share = max_in_flight / boxes_;
-  double rest =
-      static_cast<double>(max_in_flight % boxes_) / static_cast<double>(boxes_);
-  bool gets_more = UnitHash(box_ + "/" + endpoint) < rest;
+  size_t first = StableHash(endpoint) % boxes_;
+  size_t distance = (rank_ + boxes_ - first) % boxes_;
+  bool gets_more = distance < max_in_flight % boxes_;
   return share + (gets_more ? 1 : 0);
 }
 
--- a/leverwick/brittle_endpoints.h
+++ b/leverwick/brittle_endpoints.h
@@ -6,14 +6,15 @@
 // capacity. The number applies to the requests of all boxes together, and
 // endpoints then queue fewer requests than otherwise. So the capacity of each
 // endpoint is divided among the boxes, and a box sends an endpoint only as many
-// requests at a time as its own part of it. The parts add up to the capacity,
-// so that no box needs to know what the others have sent.
+// requests at a time as its own part of it. The parts of boxes that have the
+// same list of boxes add up to the capacity, so that no box needs to know what
+// the others have sent.
 //
 // Boxes that are busier than others may exceed their part at random moments,
 // so rarely that the endpoint can bear to reject all of these requests.
 //
 //   BrittleEndpoints brittle("box-a1");
-//   brittle.SetBoxCount(7);
+//   brittle.SetBoxes({"box-a2", "box-b1"});
 //   brittle.RecordReport("service", 5, now);
 //   if (brittle.TimeUntilSendAllowed(endpoint, now) <= nanoseconds(0)) {
 //     brittle.RecordSend(endpoint.address, endpoint.max_in_flight, now);
@@ -30,6 +31,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "leverwick/endpoint_pool.h"
 #include "leverwick/time.h"
@@ -47,8 +49,8 @@
 
   explicit BrittleEndpoints(std::string box) : box_(std::move(box)) {}
 
-  // Sets the number of boxes in the fleet, including this one.
-  void SetBoxCount(size_t boxes);
+  // Sets the names of all boxes but this one.
+  void SetBoxes(const std::vector<std::string>& others);
 
   // Records that a response of the service reported the number of rejections a
   // second that an endpoint bears. Returns true if the service was sound
@@ -99,6 +101,7 @@
 
   const std::string box_;
   size_t boxes_ = 1;
+  size_t rank_ = 0;                        // of this box among all by name
   std::map<std::string, Report> reports_;  // by service
   std::unordered_map<std::string, Endpoint> endpoints_;
 };
--- a/leverwick/testing/brittle_endpoints_test.cc
+++ b/leverwick/testing/brittle_endpoints_test.cc
@@ -9,6 +9,15 @@
 namespace leverwick {
 namespace {
 
+// The names of all boxes but the one with that number.
+std::vector<std::string> OthersThan(size_t box, size_t boxes) {
+  std::vector<std::string> names;
+  for (size_t i = 0; i < boxes; ++i) {
+    if (i != box) names.push_back("box" + std::to_string(i));
+  }
+  return names;
+}
+
 class Fixture {
  public:
   Fixture() {
@@ -70,8 +79,8 @@
     CAPTURE(boxes);
     std::vector<size_t> sums(kEndpoints);
     for (size_t box = 0; box < boxes; ++box) {
-      BrittleEndpoints each(std::to_string(box));
-      each.SetBoxCount(boxes);
+      BrittleEndpoints each("box" + std::to_string(box));
+      each.SetBoxes(OthersThan(box, boxes));
       for (size_t i = 0; i < kEndpoints; ++i) {
         sums[i] += each.CapacityShare(std::to_string(i), kCapacity);
       }
@@ -98,7 +107,7 @@
     size_t in_second = 0;
     for (size_t box = 0; box < kBoxes; ++box) {
       BrittleEndpoints brittle("box" + std::to_string(box));
-      brittle.SetBoxCount(kBoxes);
+      brittle.SetBoxes(OthersThan(box, kBoxes));
       brittle.RecordReport("s", kBears, now);
       brittle.RecordSend("e", kBoxes, now);
       while (brittle.TimeUntilSendAllowed(endpoint, now) <= nanoseconds(0)) {
