A box without a part of brittle endpoints forwards its requests

What callers see: where boxes outnumber the places of brittle endpoints, a box without a part refused nearly all its callers while places stayed free. Cause: it waited for a part that it never gets. Change: such a box forwards the request as a partitioned one does, by the same mechanism and bounds; a box that has no part either declines at once. Boxes whose part is in use go on as before, so that no overload is passed around.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -95,6 +95,12 @@
                 {"bears", std::to_string(*answer.most_turned_away)}});
 }
 
+bool Relay::HasCapacityShare(const std::string& service) const {
+  return pool_.AnyListed(service, [this](const ListedEndpoint& endpoint) {
+    return brittle_.CapacityShare(endpoint.address, endpoint.max_in_flight) > 0;
+  });
+}
+
 void Relay::OnNewLife(const std::string& endpoint) {
   backoffs_.backoffs()->Forget(endpoint);
   refusals_.RecordAcceptance(endpoint);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -149,6 +149,9 @@
   // Takes in what an answer says of the endpoints of a brittle service.
   void HeardBrittle(const std::string& endpoint, const AnswerHead& answer,
                     TimePoint now);
+  // Whether this box may use any place of the service's endpoints while they
+  // are brittle.
+  bool HasCapacityShare(const std::string& service) const;
   // What its earlier life said, did and knew says nothing of the new one.
   void OnNewLife(const std::string& endpoint);
   void OnEndpointEnd(const EndpointEnd& end);
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -169,8 +169,13 @@
     auto self = shared_from_this();
     return relay_->limits_.Wait([self] { self->SendOrWait(); });
   }
-  bool is_brittle = relay_->brittle_.IsBrittle(service_, now);
-  if (endpoint == nullptr && is_brittle && may_wait) return WaitForCapacity();
+  if (endpoint == nullptr && relay_->brittle_.IsBrittle(service_, now)) {
+    bool has_part = relay_->HasCapacityShare(service_);
+    if (!has_part && is_forwarded())
+      return AnswerUnreached(Result::kNoEndpoint);
+    if (!has_part && Forward()) return;
+    if (may_wait) return WaitForCapacity();
+  }
   ++dispatches_;
   if (endpoint != nullptr) return SendTo(*endpoint);
   Result why = relay_->choice_.ReasonForNone(Wanted(model_), now);
