Reports of poison requests keep the order of their crashes whatever their transit

Repeated beside load, 1 of 24 runs failed; its lines show that the box knew all three crashes and held the request only at a fourth. Cause: each report's times are late by its own transit, and a crash keeps the time of the first report of it. If an earlier report took longer, its crash stands after the begin of the run that followed it, and both count as one. The class: times of another box are compared without what they leave out. Change: a report that repeats a crash is aligned with the earlier report by it.

--- a/leverwick/poison_requests.cc
+++ b/leverwick/poison_requests.cc
@@ -318,9 +318,25 @@
   return notes;
 }
 
+TimePoint::duration PoisonRequests::ReportOffset(const PoisonNotes& notes,
+                                                 TimePoint written_at) const {
+  for (const StruckRequest& note : notes.requests()) {
+    auto found = requests_.find(RequestDigest(note.digest()));
+    if (found == requests_.end()) continue;
+    for (const EndpointStrike& reported : note.strikes()) {
+      for (const Crash& known : found->second.crashes) {
+        if (known.is_local || known.endpoint != reported.endpoint()) continue;
+        return known.crashed_at - written_at + milliseconds(reported.age_ms());
+      }
+    }
+  }
+  return TimePoint::duration::zero();
+}
+
 std::map<std::string, TimePoint> PoisonRequests::Merge(const PoisonNotes& notes,
-                                                       TimePoint written_at,
+                                                       TimePoint as_of,
                                                        bool is_local) {
+  TimePoint written_at = as_of + ReportOffset(notes, as_of);
   std::map<std::string, TimePoint> new_crashes;
   for (const EndpointLife& alive : notes.lives()) {
     RecordLastSeen(alive.endpoint(),
--- a/leverwick/poison_requests.h
+++ b/leverwick/poison_requests.h
@@ -19,6 +19,10 @@
 //     same id.
 //   - Simultaneous crashes, such as those of a whole data centre, count as one.
 //
+// The times in a report are late by its transit time, which the receiver does
+// not know. A crash that was reported before aligns them with the earlier
+// report, so that the order of reported crashes is kept.
+//
 // Reports can be merged in any order and any number of times: crashes are only
 // added, and a crash that has been cleared stays cleared. Reports contain ages
 // instead of times, since boxes have no common clock.
@@ -28,7 +32,7 @@
 //   poison.RecordSurvivedRun(run, now);
 //   PoisonVerdict verdict = poison.Evaluate(digest, target, is_listed, now);
 //   if (poison.TakeChangeFlag()) Broadcast(poison.BuildNotes(now, wall));
-//   poison.Merge(notes, written_at, false);  // a report of another box
+//   poison.Merge(notes, now, false);  // a report of another box
 
 #ifndef LEVERWICK_POISON_REQUESTS_H_
 #define LEVERWICK_POISON_REQUESTS_H_
@@ -117,11 +121,12 @@
   // Builds the report of what this box has observed itself. `wall` is the
   // current time of its wall clock.
   PoisonNotes BuildNotes(TimePoint now, WallTime wall) const;
-  // Merges a report that was written at `written_at`. `is_local` is true for a
+  // Merges a report that was written at `as_of` or, by the transit time of a
+  // report, before. `is_local` is true for a
   // report of this box, possibly from an earlier incarnation. Returns the time
   // of each crash that this box was not aware of, by endpoint.
   std::map<std::string, TimePoint> Merge(const PoisonNotes& notes,
-                                         TimePoint written_at, bool is_local);
+                                         TimePoint as_of, bool is_local);
 
   // Returns the changes since the last call, for logging.
   std::vector<QuarantineChange> TakeQuarantineChanges();
@@ -157,6 +162,10 @@
     bool quarantined = false;
   };
 
+  // Returns what to add to the times of a report that is taken to be written at
+  // `written_at`; zero if it contains no crash that was reported before.
+  TimePoint::duration ReportOffset(const PoisonNotes& notes,
+                                   TimePoint written_at) const;
   // Returns whether the crash was not recorded before.
   bool AddCrash(const RequestDigest& digest, const Crash& crash);
   // Clears all recorded crashes on the version up to `now`.
--- a/leverwick/testing/poison_requests_test.cc
+++ b/leverwick/testing/poison_requests_test.cc
@@ -92,6 +92,20 @@
   CHECK(KindAt(poison, request, 200) == Kind::kSend);
 }
 
+TEST_CASE("the transit times of a box's reports do not change their order") {
+  PoisonRequests a("a");
+  PoisonRequests b("b");
+  RequestDigest request = Request("x");
+  a.RecordCrash({Run(request, "e1", 0)}, At(50));
+  b.Merge(a.BuildNotes(At(60), kWall), At(160), false);
+  // Each run starts when the one before has crashed its endpoint.
+  a.RecordCrash({Run(request, "e2", 50)}, At(100));
+  a.RecordCrash({Run(request, "e3", 100)}, At(150));
+  CHECK(KindAt(a, request, 400) == Kind::kQuarantine);
+  b.Merge(a.BuildNotes(At(360), kWall), At(365), false);
+  CHECK(KindAt(b, request, 400) == Kind::kQuarantine);
+}
+
 TEST_CASE("a healthy run clears crashes on its version only") {
   PoisonRequests poison("a");
   RequestDigest request = Request("x");
