--- a/daemon/testing/shared_log_site.h
+++ b/daemon/testing/shared_log_site.h
@@ -79,6 +79,19 @@
     });
   }
 
+  // Refuses this and later reads, held ones among them.
+  void TurnAway() {
+    away = true;
+    away_why = Result::kRefused;
+    std::list<Held> held;
+    held.swap(held_);
+    for (Held& read : held) {
+      boost::asio::post(*loop_, [callback = read.callback] {
+        callback(Result::kRefused, {});
+      });
+    }
+  }
+
   const std::map<std::string, KeyedRecord>& newest() const { return newest_; }
 
   bool away = false;
@@ -142,9 +155,11 @@
 // One box: a follower of the topic, shared with others.
 class Box {
  public:
-  Box(boost::asio::io_context* loop, KeyedLog* store, const LogBox& self)
+  Box(boost::asio::io_context* loop, KeyedLog* store, const LogBox& self,
+      const FollowerOptions& options = {kTopic, kHeld, milliseconds(0),
+                                        kMostAge})
       : log(loop, store, self, 1, &metrics),
-        follower(loop, &log, {kTopic, kHeld, milliseconds(0), kMostAge}, &told),
+        follower(loop, &log, options, &told),
         server(loop) {
     server.Share(kTopic, follower.cache());
   }
