SharedLog: tells whom a topic is read from, and how old the answers are

The logs named boxes that were passed over, but not the source of an answer, so a late box could not be told from one whose source was late. A line when the source of a topic changes, with the ages of the answers before and after; leverwick_log_reads_total by topic and source, leverwick_log_age_seconds by topic. No decision changes.

--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -86,6 +86,11 @@
   return is_readable;
 }
 
+std::string MillisecondsText(nanoseconds span) {
+  auto count = std::chrono::duration_cast<milliseconds>(span).count();
+  return std::to_string(count);
+}
+
 TimePoint MomentAfter(TimePoint start, int64_t microseconds) {
   return start + std::chrono::microseconds(microseconds);
 }
@@ -142,8 +147,7 @@
 SharedLog::TopicState* SharedLog::StateOf(const std::string& topic) {
   auto it = topics_.find(topic);
   if (it == topics_.end()) {
-    TopicState state{ReadSources(self_, readers_), ReadSources(self_, 1)};
-    it = topics_.emplace(topic, std::move(state)).first;
+    it = topics_.emplace(topic, TopicState(self_, readers_)).first;
     it->second.sources.SetBoxes(boxes_);
     it->second.fleet_sources.SetBoxes(first_boxes_);
   }
@@ -154,7 +158,7 @@
   auto done = [this, query, callback](std::error_code error, LogPage page) {
     TopicState* state = StateOf(query.topic);
     page.is_long_polled = page.is_long_polled && page.as_of > state->as_of;
-    if (!error) state->as_of = std::max(state->as_of, page.as_of);
+    if (!error) RecordAnswer(query.topic, page.source, page.as_of);
     callback(error, std::move(page));
   };
   ReadFrom(query, kMostAsks, done);
@@ -181,6 +185,37 @@
   Ask(source->box, shared, ask, answered);
 }
 
+void SharedLog::RecordAnswer(const std::string& topic,
+                             const std::string& source, TimePoint as_of) {
+  TopicState* state = StateOf(topic);
+  TimePoint now = Clock::now();
+  std::string labels = "topic=\"" + topic + "\",from=\"" +
+                       (source.empty() ? "store" : "box") + "\"";
+  metrics_->Add("leverwick_log_reads_total", labels, 1);
+  if (!state->has_answer || state->source != source) {
+    kLog.Info(
+        "A topic is read from another source.",
+        {{"topic", topic},
+         {"source", source.empty() ? "store" : source},
+         {"before", state->source.empty() ? "store" : state->source},
+         {"age_ms", MillisecondsText(now - as_of)},
+         {"age_before_ms",
+          state->has_answer ? MillisecondsText(now - state->as_of) : "none"}});
+  }
+  state->has_answer = true;
+  state->source = source;
+  state->as_of = std::max(state->as_of, as_of);
+}
+
+void SharedLog::SetGauges() {
+  TimePoint now = Clock::now();
+  for (const auto& [topic, state] : topics_) {
+    if (!state.has_answer) continue;
+    metrics_->Set("leverwick_log_age_seconds", "topic=\"" + topic + "\"",
+                  ToSeconds(now - state.as_of));
+  }
+}
+
 bool SharedLog::MayReadStore(TopicState* state) {
   if (state->sources.is_reader()) return true;
   TimePoint now = Clock::now();
@@ -254,9 +289,9 @@
     if (IsForAnother(error)) {
       return ReadNewestFrom(query, after_key, boxes - 1, callback);
     }
-    TopicState* state = StateOf(query.topic);
-    if (!error) state->as_of = std::max(state->as_of, page.as_of);
-    callback(error, {std::move(page.records), false, page.end, page.as_of});
+    if (!error) RecordAnswer(query.topic, page.source, page.as_of);
+    callback(error, {std::move(page.records), false, page.end, page.as_of,
+                     page.source});
   };
   Ask(source->box, query, ask, answered);
 }
@@ -290,6 +325,7 @@
     if (may_be_starting) return AskAgain(box, query, ask, callback);
     LogPage page;
     if (!error) error = Decode(query, asked_at, answer, &page);
+    page.source = box.name;
     Judge(box, query, error);
     callback(error, std::move(page));
   };
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -50,6 +50,8 @@
     fleet_topics_.insert(topic);
   }
 
+  // Updates the age of what is known of each topic.
+  void SetGauges();
   // Whether this box would now read the topic from the store.
   bool ReadsStore(const std::string& topic) {
     return !ChooseSource(topic, Clock::now());
@@ -66,9 +68,14 @@
  private:
   // How one topic is read: a box may know one and not another.
   struct TopicState {
+    TopicState(const LogBox& self, int readers)
+        : sources(self, readers), fleet_sources(self, 1) {}
+
     ReadSources sources;        // in this data centre
     ReadSources fleet_sources;  // the first boxes of all
     TimePoint as_of{};          // of the newest answer
+    std::string source;         // of it; as in LogPage
+    bool has_answer = false;
     // No call to the store before this, unless this box is a reader.
     TimePoint store_from{};
     // Boxes that read for this one did not answer; its turn at the store is
@@ -90,6 +97,9 @@
   void ReadNewestFrom(const LogQuery& query, const std::string& after_key,
                       int boxes, NewestCallback callback);
   void ReadStore(const LogQuery& query, ReadCallback callback);
+  // Counts an answer; logs it if it came from another source than the last.
+  void RecordAnswer(const std::string& topic, const std::string& source,
+                    TimePoint as_of);
   // Whether this box's turn at the store has come.
   bool MayReadStore(TopicState* state);
   // How long another box may take until it has all records of a topic.
