AsyncHttpServer: closes its connections when it ends

A request that came on an open connection after the server's end reached the handler of an object that was gone. Seen as a crash of "a reader that is gone costs its askers a moment", whose reader until now went on answering from freed memory. The reader is now gone at once, within the 600 ms in which boxes that start ask again; the test waits for their end first, its bound is unchanged.

--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -180,6 +180,9 @@
 
 TEST_CASE("a reader that is gone costs its askers a moment, once") {
   Pair pair;
+  // Boxes that have just started ask again for a while.
+  RunUntil(
+      &pair.loop, [] { return false; }, milliseconds(700));
   pair.reader.reset();
   pair.other_way.Put("k", "new");
   TimePoint gone_at = Clock::now();
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -260,7 +260,11 @@
       acceptor_(*loop),
       accept_pause_(*loop) {}
 
-AsyncHttpServer::~AsyncHttpServer() = default;
+AsyncHttpServer::~AsyncHttpServer() {
+  // The loop may go on: nothing that is read later may reach the handler.
+  auto connections = connections_;
+  for (const auto& connection : connections) connection->BreakOff();
+}
 
 std::error_code AsyncHttpServer::Listen(const tcp::endpoint& address) {
   boost::system::error_code error;
