Log reads: boxes that lose their sources find newer records at once

Callers of a fleet of 985 boxes met refusals (stale_table) and configurations that were up to 10 s old on two of five data centres, whose first boxes had lost the store. Cause: a box that found neither its reader nor the next one waited for a turn at the store that comes 0.1 s after that of the box before, by a hash, so that the delay grew with the data centre; nobody asked the boxes that had read meanwhile; a box that the store turned away had no way at all.

Boxes that find all before them silent lead at once.

--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "leverwick/result.h"
 #include "net/deflate.h"
 
 namespace leverwick {
@@ -35,6 +36,12 @@
   exchange->Answer(std::move(head), "");
 }
 
+void AnswerWith(ServerExchange* exchange, const LogAnswer& answer) {
+  HttpHead head;
+  head.status = 200;
+  exchange->Answer(std::move(head), answer.SerializeAsString());
+}
+
 LogAnswer RecordsOf(LogPage page) {
   LogAnswer answer;
   for (KeyedRecord& record : page.records) {
@@ -46,6 +53,32 @@
   return answer;
 }
 
+void DeflateRecords(LogPage page, std::string* deflated, uint64_t* size) {
+  std::string records = RecordsOf(std::move(page)).SerializeAsString();
+  *deflated = Deflate(records);
+  *size = records.size();
+}
+
+// A page of the store's.
+LogAnswer RelayedAnswer(LogPage page, TimePoint received) {
+  LogAnswer answer;
+  uint64_t next = page.next;
+  uint64_t end = page.end;
+  TimePoint as_of = page.as_of;
+  if (page.records.size() >= kLongPage) {
+    uint64_t size = 0;
+    DeflateRecords(std::move(page), answer.mutable_deflated_records(), &size);
+    answer.set_inflated_size(size);
+  } else {
+    answer = RecordsOf(std::move(page));
+  }
+  answer.set_kind(LogAnswer::PAGE);
+  answer.set_end(next);
+  answer.set_log_end(end);
+  answer.set_as_of_us(MicrosecondsAfter(received, as_of));
+  return answer;
+}
+
 }  // namespace
 
 LogServer::LogServer(boost::asio::io_context* loop)
@@ -75,6 +108,7 @@
   if (!ask.ParseFromString(exchange->body())) {
     return AnswerEmpty(exchange.get(), 400);
   }
+  if (ask.relayed()) return Relay(exchange, ask);
   auto cache = caches_.find(ask.topic());
   bool hold = cache != caches_.end() && ask.wait_ms() > 0 &&
               !HasNews(*cache->second, ask);
@@ -82,6 +116,22 @@
   Answer(exchange, ask);
 }
 
+void LogServer::Relay(const std::shared_ptr<ServerExchange>& exchange,
+                      const LogAsk& ask) {
+  bool is_shared = caches_.count(ask.topic()) > 0;
+  if (!relay_ || !is_shared) return AnswerWith(exchange.get(), {});
+  LogQuery query;
+  query.topic = ask.topic();
+  query.from = ask.from();
+  query.max_wait = std::min(milliseconds(ask.wait_ms()), kLongestHold);
+  relay_(query, [exchange](std::error_code error, LogPage page) {
+    LogAnswer answer;
+    if (error == Result::kExpired) answer.set_kind(LogAnswer::EXPIRED);
+    if (!error) answer = RelayedAnswer(std::move(page), exchange->received());
+    AnswerWith(exchange.get(), answer);
+  });
+}
+
 void LogServer::Hold(const std::shared_ptr<ServerExchange>& exchange,
                      const LogAsk& ask) {
   std::shared_ptr<HeldAsk> held(
@@ -114,9 +164,7 @@
     return;
   }
   if (is_known) answer = AnswerOf(*cache->second, ask, exchange->received());
-  HttpHead head;
-  head.status = 200;
-  exchange->Answer(std::move(head), answer.SerializeAsString());
+  AnswerWith(exchange.get(), answer);
   if (!answer.deflated_records().empty()) on_the_way_.push_back(exchange);
 }
 
@@ -153,8 +201,8 @@
   }
   auto [known, is_new] = pages.by_offset.try_emplace(ask.from());
   if (is_new) {
-    std::string records = RecordsOf(std::move(page)).SerializeAsString();
-    known->second = {Deflate(records), records.size()};
+    DeflateRecords(std::move(page), &known->second.records,
+                   &known->second.inflated_size);
   }
   return known->second;
 }
--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -4,6 +4,8 @@
 // offset. Otherwise it is held until this box has read the topic again, which
 // is news too: it proves that nothing has changed up to then.
 //
+// An ask may also want the store to be read, which does not serve the asker.
+//
 // Many records, such as a whole topic, are deflated once for all that ask for
 // them. Only so many answers with whole topics are on their way at a time that
 // they fit into memory.
@@ -39,6 +41,10 @@
 
   // `cache` must outlive this.
   void Share(const std::string& topic, LogCache* cache);
+  // Sets how the store is read for a box that it does not serve.
+  using RelayFunction =
+      std::function<void(const LogQuery& query, KeyedLog::ReadCallback done)>;
+  void SetRelay(RelayFunction relay) { relay_ = std::move(relay); }
   // Hands what is sent to `path` to `take`, which says whether it was readable.
   void Receive(const std::string& path,
                std::function<bool(const std::string& body)> take) {
@@ -73,6 +79,8 @@
 
   void Handle(const std::shared_ptr<ServerExchange>& exchange);
   void Hold(const std::shared_ptr<ServerExchange>& exchange, const LogAsk& ask);
+  void Relay(const std::shared_ptr<ServerExchange>& exchange,
+             const LogAsk& ask);
   void Answer(const std::shared_ptr<ServerExchange>& exchange,
               const LogAsk& ask);
   LogAnswer AnswerOf(const LogCache& cache, const LogAsk& ask,
@@ -90,6 +98,7 @@
   std::map<std::string, LogCache*> caches_;  // by topic
   std::map<std::string, std::function<bool(const std::string&)>> receivers_;
   std::map<std::string, AsyncHttpServer::Handler> handlers_;
+  RelayFunction relay_;  // may be empty
   std::list<std::shared_ptr<HeldAsk>> held_;
   std::map<std::string, DeflatedPages> deflated_;          // by topic
   std::list<std::shared_ptr<ServerExchange>> on_the_way_;  // long answers
--- a/daemon/testing/shared_log_site.h
+++ b/daemon/testing/shared_log_site.h
@@ -162,6 +162,9 @@
         follower(loop, &log, options, &told),
         server(loop) {
     server.Share(kTopic, follower.cache());
+    server.SetRelay([this](const LogQuery& query, KeyedLog::ReadCallback done) {
+      log.Relay(query, std::move(done));
+    });
   }
 
   void Listen(const boost::asio::ip::tcp::endpoint& endpoint) {
--- a/leverwick/keyed_log.h
+++ b/leverwick/keyed_log.h
@@ -36,8 +36,6 @@
   // The source replied as soon as it had new records, so the reader need not
   // pause before the next read.
   bool is_long_polled = false;
-  // The box that passed the page on; empty: the store replied.
-  std::string source;
 };
 
 // The newest record of each key.
@@ -46,7 +44,6 @@
   bool has_more = false;  // request the next page, after the last record's key
   uint64_t end = 0;
   TimePoint as_of{};
-  std::string source;  // as in LogPage
 };
 
 struct LogQuery {
--- a/leverwick/read_sources.cc
+++ b/leverwick/read_sources.cc
@@ -48,6 +48,18 @@
   return *readers[StableHash(self_.name) % readers.size()];
 }
 
+bool ReadSources::LeadsAt(TimePoint now) const {
+  int reachable = 0;
+  for (const LogBox& box : preferred_boxes_) {
+    auto it = failures_.find(box.name);
+    bool is_unreachable = it != failures_.end() && now < it->second.retry_at &&
+                          it->second.unreachable_since;
+    if (!is_unreachable) ++reachable;
+    if (reachable >= max_readers_) return false;
+  }
+  return true;
+}
+
 void ReadSources::RecordUnreachable(const std::string& name, TimePoint now) {
   Failure& failure = failures_[name];
   if (!failure.unreachable_since) failure.unreachable_since = now;
--- a/leverwick/read_sources.h
+++ b/leverwick/read_sources.h
@@ -48,10 +48,13 @@
   // Returns the box to read from, or nullopt for the store.
   std::optional<LogBox> ChooseSource(TimePoint now) const;
 
-  // Returns whether this box reads the store even if all other boxes are
-  // reachable.
-  bool is_reader() const {
-    return static_cast<int>(preferred_boxes_.size()) < max_readers_;
+  // Returns whether this box is among the readers as far as it can reach the
+  // boxes that precede it. Boxes that reply, but with what is too old, precede
+  // it still.
+  bool LeadsAt(TimePoint now) const;
+  // Returns whether the box's last reply was not usable, or missing.
+  bool HasFailed(const std::string& name) const {
+    return failures_.count(name) > 0;
   }
 
   // Records a usable reply from the box.
@@ -65,6 +68,9 @@
   // store has shown that it has nothing newer.
   void ClearStale();
 
+  // Ends all back-offs. Called when the failures were this box's own.
+  void ClearFailures() { failures_.clear(); }
+
   // Returns the boxes that have not replied for at least `span`.
   std::vector<std::string> BoxesUnreachableFor(nanoseconds span,
                                                TimePoint now) const;
