Log reader: a search lasts until an answer has spread after the last turn

More cases: a reader that the store refuses costs no more calls, two halves that one box joins, a store that is back, boxes that were cut off and return.

--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -47,8 +47,9 @@
 constexpr size_t kLargestBoxes = 8;
 
 constexpr milliseconds kRoundTime{60};
-// Of the first call of a search; later calls follow after the caller's pauses.
-constexpr int kRounds = 12;
+// Rounds of a search after the last box's turn at the store, within which an
+// answer spreads.
+constexpr int kSpreadRounds = 8;
 constexpr size_t kProbes = 3;
 // Boxes that may turn to the store in the first round.
 constexpr double kFirstTurns = 50;
@@ -71,6 +72,13 @@
 constexpr milliseconds kMostStorePause{3000};
 constexpr size_t kBoxesPerPause = 50;
 
+// Returns how often the number of boxes that turn to the store must double
+// until it reaches `place`.
+int DoublingsTo(double place) {
+  return static_cast<int>(
+      std::ceil(std::log2(std::max(1.0, place / kFirstTurns))));
+}
+
 // Whether another source may do better.
 bool IsForAnother(std::error_code error) {
   return error && error != Result::kExpired;
@@ -116,7 +124,7 @@
 
 struct LogReader::SearchCall {
   CallPointer call;
-  int rounds_left = 0;
+  int rounds_left = 1;
   size_t probes = 0;  // a round
   int outstanding = 0;
   bool asked_store = false;
@@ -342,11 +350,9 @@
   TimePoint now = transport_->Now();
   if (!search.is_active) {
     double place = transport_->Draw() * static_cast<double>(boxes_.size() + 1);
-    double doublings = std::ceil(std::log2(std::max(1.0, place / kFirstTurns)));
     nanoseconds step =
         call->snapshot ? SnapshotTime() : kRoundTime * kRoundsPerTurn;
-    auto turn = FromSeconds(ToSeconds(step) * doublings);
-    search = {true, now + turn, 0};
+    search = {true, now + step * DoublingsTo(place), 0};
     auto store_at = std::max(search.store_at, store_from_);
     transport_->RecordSearch(
         {call->query.topic, AgeOf(*topic), store_at - now});
@@ -356,8 +362,11 @@
   search_call->call = call;
   // A box that others read from tries the store again instead.
   bool leads = LeadsTopic(topic);
-  search_call->rounds_left =
-      is_first && !leads && !call->snapshot ? kRounds : 1;
+  if (is_first && !leads && !call->snapshot) {
+    auto boxes = static_cast<double>(boxes_.size() + 1);
+    search_call->rounds_left =
+        DoublingsTo(boxes) * kRoundsPerTurn + kSpreadRounds;
+  }
   // A whole topic is long: one box at a time is asked for it.
   search_call->probes = (is_first || leads) && !call->snapshot ? kProbes : 1;
   RunRound(search_call);
--- a/leverwick/testing/log_reader_test.cc
+++ b/leverwick/testing/log_reader_test.cc
@@ -90,5 +90,72 @@
   }
 }
 
+TEST_CASE("a reader that the store refuses costs no more calls") {
+  for (size_t refused : {1, 2, 70}) {
+    LogReaderSimulation centre(LogReaderScenario(), 2);
+    SetFault(&centre, Fault::kRefused, FirstBoxes(refused));
+    centre.RunFor(seconds(5));
+    centre.ResetCounts();
+    centre.RunFor(seconds(20));
+    // A held read each 1.25 s, and attempts to do without a relay: each of
+    // these, and each relay that is refused as well, once in 1.5 s or less.
+    CHECK(centre.store_calls() <= 16 + 14 + 14 * 3);
+    CHECK(centre.OldestProof() < kProofAge);
+  }
+}
+
+TEST_CASE("two halves that one box joins both learn of a change in time") {
+  LogReaderSimulation centre(LogReaderScenario(), 3);
+  // The store serves the first half. Box 99 reaches both halves.
+  for (size_t i = 100; i < 200; ++i) centre.refused.insert(i);
+  centre.reaches = [](size_t a, size_t b) {
+    return a == 99 || b == 99 || (a < 100) == (b < 100);
+  };
+  centre.BreakHeldReads();
+  centre.Put();
+  CHECK(centre.TimeToKnow(2 * kInForce) < kInForce);
+  for (int i = 0; i < 100; ++i) {
+    centre.RunFor(milliseconds(100));
+    CHECK(centre.OldestProof() < kProofAge);
+  }
+}
+
+TEST_CASE("boxes learn at once when a store that refused all is back") {
+  for (size_t boxes : {60, 1000}) {
+    LogReaderScenario scenario;
+    scenario.boxes = boxes;
+    LogReaderSimulation centre(scenario, 4);
+    SetFault(&centre, Fault::kRefused, FirstBoxes(boxes));
+    centre.RunFor(seconds(20));
+    centre.ResetCounts();
+    centre.RunFor(seconds(10));
+    // A store that is away: no more than a call in 1.5 s of each 50 boxes, and
+    // of the reader one each pause of its own.
+    CHECK(centre.store_calls() <= 10 * (50 / 1.5 + 10));
+    centre.refused.clear();
+    centre.Put();
+    CHECK(centre.TimeToKnow(kInForce) < seconds(2));
+    centre.ResetCounts();
+    centre.RunFor(seconds(10));
+    CHECK(centre.MostCallsPerSecond() <= 50);
+  }
+}
+
+TEST_CASE("boxes that were cut off return to their reader at once") {
+  LogReaderSimulation centre(LogReaderScenario(), 5);
+  std::set<size_t> cut;
+  for (size_t i = 0; i < 200; i += 3) cut.insert(i + 1);
+  SetFault(&centre, Fault::kCut, cut);
+  centre.RunFor(seconds(8));
+  centre.Put();
+  centre.cut.clear();
+  CHECK(centre.TimeToKnow(kInForce) < seconds(2));
+  centre.RunFor(seconds(3));
+  centre.ResetCounts();
+  centre.RunFor(seconds(10));
+  // The reader's held reads, one in 1.25 s.
+  CHECK(centre.store_calls() <= 10);
+}
+
 }  // namespace
 }  // namespace leverwick
