--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -73,6 +73,37 @@
   return answer;
 }
 
+TEST_CASE("a relayed page that ends before the log proves nothing") {
+  boost::asio::io_context loop;
+  LogCache cache;
+  LogServer server(&loop);
+  server.Share(kTopic, &cache);
+  server.SetRelay([](const LogQuery& query, KeyedLog::ReadCallback done) {
+    LogPage page;
+    page.records = {{"k", "v"}};
+    page.next = query.from + 1;
+    page.end = query.from + 5;
+    page.as_of = Clock::now();
+    done({}, page);
+  });
+  auto endpoint = FreePort(&loop);
+  REQUIRE_FALSE(server.Listen(endpoint));
+  Metrics metrics;
+  MemoryLog store(&loop);
+  store.TurnAway();
+  SharedLog log(&loop, &store, {"a", "127.0.0.1:1", 2}, 1, &metrics);
+  log.SetBoxes({{"b", AddressOf(endpoint), 1}});
+  bool answered = false;
+  log.Read({kTopic, 7, kHeld, false, kMostAge},
+           [&](std::error_code error, const LogPage& page) {
+             CHECK_FALSE(error);
+             CHECK(page.next == 8);
+             CHECK(page.end == 12);
+             answered = true;
+           });
+  REQUIRE(RunUntil(&loop, [&] { return answered; }));
+}
+
 TEST_CASE("many records are sent in few bytes, whatever they begin at") {
   Pair pair;
   std::string value(300, 'v');
