Log reader: a box whose sources fail while it is up to date tries them again

Until what a box knew was old it waited without a try, up to 24 s where answers may be 30 s old (the list of boxes). It now tries the usual sources again after 0.5 s.

--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -57,6 +57,8 @@
 // Of the oldest age that an answer may have: up to here the usual sources have
 // time, then a search begins.
 constexpr double kYoungShare = 0.8;
+// While there is time, the usual sources are tried again after this.
+constexpr milliseconds kSourcePause{500};
 // An answer that is hardly newer than what is known would begin another search
 // soon.
 constexpr int kNewsPerAge = 4;
@@ -125,7 +127,7 @@
 struct LogReader::SearchCall {
   CallPointer call;
   int rounds_left = 1;
-  size_t probes = 0;  // a round
+  size_t probes = 1;  // a round
   int outstanding = 0;
   bool asked_store = false;
   bool is_over = false;
@@ -236,8 +238,10 @@
   if (transport_->Now() < store_from_) {
     return callback(Result::kUnreachable, {});
   }
-  store_->Read(query, [this, callback = std::move(callback)](
-                          std::error_code error, LogPage page) {
+  store_->Read(query, [this, alive = std::weak_ptr<int>(alive_),
+                       callback = std::move(callback)](std::error_code error,
+                                                       LogPage page) {
+    if (alive.expired()) return;
     if (IsForAnother(error)) RecordStoreFailure(error);
     callback(error, std::move(page));
   });
@@ -343,8 +347,7 @@
   if (boxes_.empty()) return Fail(call, call->error);
   Topic* topic = TopicOf(call->query.topic);
   if (!LeadsTopic(topic) && IsYoung(*topic, call->query)) {
-    nanoseconds until_old = YoungAgeOf(call->query) - AgeOf(*topic);
-    return transport_->RunAfter(until_old, [this, call] { Start(call); });
+    return RetrySources(call, YoungAgeOf(call->query) - AgeOf(*topic));
   }
   Search& search = topic->search;
   TimePoint now = transport_->Now();
@@ -360,18 +363,29 @@
   bool is_first = search.reads++ == 0;
   auto search_call = std::make_shared<SearchCall>();
   search_call->call = call;
-  // A box that others read from tries the store again instead.
+  // A whole topic is long: one box at a time is asked for it. A box that others
+  // read from tries the store again soon.
   bool leads = LeadsTopic(topic);
-  if (is_first && !leads && !call->snapshot) {
-    auto boxes = static_cast<double>(boxes_.size() + 1);
-    search_call->rounds_left =
-        DoublingsTo(boxes) * kRoundsPerTurn + kSpreadRounds;
+  if (!call->snapshot && is_first && !leads) {
+    search_call->rounds_left = RoundsOfSearch();
   }
-  // A whole topic is long: one box at a time is asked for it.
-  search_call->probes = (is_first || leads) && !call->snapshot ? kProbes : 1;
+  if (!call->snapshot && (is_first || leads)) search_call->probes = kProbes;
   RunRound(search_call);
 }
 
+void LogReader::RetrySources(const CallPointer& call, nanoseconds until_old) {
+  transport_->RunAfter(std::min<nanoseconds>(until_old, kSourcePause),
+                       [this, call] {
+                         call->asks = 0;
+                         Start(call);
+                       });
+}
+
+int LogReader::RoundsOfSearch() const {
+  auto boxes = static_cast<double>(boxes_.size() + 1);
+  return DoublingsTo(boxes) * kRoundsPerTurn + kSpreadRounds;
+}
+
 void LogReader::RunRound(const std::shared_ptr<SearchCall>& search) {
   if (search->is_over) return;
   if (search->rounds_left > 0) {
--- a/leverwick/log_reader.h
+++ b/leverwick/log_reader.h
@@ -160,6 +160,9 @@
   void ReadAsReader(const CallPointer& call);
   void ReadRelayed(const CallPointer& call, int attempts);
   void StartSearch(const CallPointer& call);
+  // Asks the usual sources again, when what is known is old at the latest.
+  void RetrySources(const CallPointer& call, nanoseconds until_old);
+  int RoundsOfSearch() const;
   void RunRound(const std::shared_ptr<SearchCall>& search);
   void SearchStore(const std::shared_ptr<SearchCall>& search);
   void Probe(const std::shared_ptr<SearchCall>& search, const LogBox& box);
