Store attempts: pauses of refused boxes begin with the shortest one at any size

Cause: after a refused call a box paused for 1.5 to 3 s times the boxes of the data centre by fifty, so that with 1,000 boxes all paused for at least 31 s. In the later calls of a search a box also asked only one other.

Change: StoreAttempts draws the pause between 1.5 s and a bound that grows with the boxes, so that attempts arrive at the same rate from the first seconds on; a box may relay 1.5 s after its own failure, whatever its pause; every call of a search asks three boxes.

--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -4,16 +4,14 @@
 // the same call, so that the time until an answer is bounded by the sum of
 // their limits, whatever the pauses of the caller are.
 //
-// In a search the boxes that turn to the store double every two rounds, in a
-// random order, beginning with kFirstTurns of them. All n boxes have had their
-// turn after 2 log2(n / kFirstTurns) rounds. An answer multiplies the boxes
-// that know it by up to 1 + kProbes each round, so that few of the others turn
-// to the store once the first ones have been served.
+// In a search the boxes that attempt to read the store double every two rounds
+// (StoreAttempts). An answer multiplies the boxes that know it by up to
+// 1 + kProbes each round, so that few of the others need the store once the
+// first ones have been served.
 
 #include "leverwick/log_reader.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "leverwick/result.h"
 
@@ -47,13 +45,12 @@
 constexpr size_t kLargestBoxes = 8;
 
 constexpr milliseconds kRoundTime{60};
-// Rounds of a search after the last box's turn at the store, within which an
-// answer spreads.
+// Rounds of a search after the last box's attempt at the store, within which
+// an answer spreads.
 constexpr int kSpreadRounds = 8;
 constexpr size_t kProbes = 3;
-// Boxes that may turn to the store in the first round.
-constexpr double kFirstTurns = 50;
-constexpr int kRoundsPerTurn = 2;
+// Rounds between the steps in which more boxes attempt to read the store.
+constexpr int kRoundsPerStep = 2;
 // Of the oldest age that an answer may have: up to here the usual sources have
 // time, then a search begins.
 constexpr double kYoungShare = 0.8;
@@ -67,19 +64,9 @@
 // A box that hears neither the store nor any box for this long is cut off.
 constexpr milliseconds kCutOffSilence{1000};
 
-// Pause of a box after a call that the store did not serve, and boxes of the
-// data centre for which it is as long again: the calls a second of all together
-// stay the same.
-constexpr milliseconds kLeastStorePause{1500};
-constexpr milliseconds kMostStorePause{3000};
-constexpr size_t kBoxesPerPause = 50;
-
-// Returns how often the number of boxes that turn to the store must double
-// until it reaches `place`.
-int DoublingsTo(double place) {
-  return static_cast<int>(
-      std::ceil(std::log2(std::max(1.0, place / kFirstTurns))));
-}
+// Time for which a relay is used without an attempt to do without it.
+constexpr milliseconds kMinRelayTime{1500};
+constexpr milliseconds kMaxRelayTime{3000};
 
 // Whether another source may do better.
 bool IsForAnother(std::error_code error) {
@@ -235,7 +222,7 @@
 }
 
 void LogReader::Relay(const LogQuery& query, KeyedLog::ReadCallback callback) {
-  if (transport_->Now() < store_from_) {
+  if (!attempts_.MayRelayAt(transport_->Now())) {
     return callback(Result::kUnreachable, {});
   }
   store_->Read(query, [this, alive = std::weak_ptr<int>(alive_),
@@ -304,7 +291,7 @@
         }
         call->error = error;
         topic->direct_from =
-            transport_->Now() + DrawBetween(kLeastStorePause, kMostStorePause);
+            transport_->Now() + DrawBetween(kMinRelayTime, kMaxRelayTime);
         ReadRelayed(call, kMostRelays);
       });
 }
@@ -352,24 +339,24 @@
   Search& search = topic->search;
   TimePoint now = transport_->Now();
   if (!search.is_active) {
-    double place = transport_->Draw() * static_cast<double>(boxes_.size() + 1);
     nanoseconds step =
-        call->snapshot ? SnapshotTime() : kRoundTime * kRoundsPerTurn;
-    search = {true, now + step * DoublingsTo(place), 0};
-    auto store_at = std::max(search.store_at, store_from_);
+        call->snapshot ? SnapshotTime() : kRoundTime * kRoundsPerStep;
+    auto delay = StoreAttempts::DelayInSearch(boxes_.size() + 1,
+                                              transport_->Draw(), step);
+    search = {true, now + delay, 0};
+    auto store_at = std::max(search.store_at, attempts_.next_at());
     transport_->RecordSearch(
         {call->query.topic, AgeOf(*topic), store_at - now});
   }
   bool is_first = search.reads++ == 0;
   auto search_call = std::make_shared<SearchCall>();
   search_call->call = call;
-  // A whole topic is long: one box at a time is asked for it. A box that others
-  // read from tries the store again soon.
-  bool leads = LeadsTopic(topic);
-  if (!call->snapshot && is_first && !leads) {
+  // A box that others read from tries the store again soon.
+  if (!call->snapshot && is_first && !LeadsTopic(topic)) {
     search_call->rounds_left = RoundsOfSearch();
   }
-  if (!call->snapshot && (is_first || leads)) search_call->probes = kProbes;
+  // A whole topic is long: one box at a time is asked for it.
+  search_call->probes = call->snapshot ? 1 : kProbes;
   RunRound(search_call);
 }
 
@@ -382,8 +369,8 @@
 }
 
 int LogReader::RoundsOfSearch() const {
-  auto boxes = static_cast<double>(boxes_.size() + 1);
-  return DoublingsTo(boxes) * kRoundsPerTurn + kSpreadRounds;
+  int steps = StoreAttempts::StepsInSearch(boxes_.size() + 1);
+  return steps * kRoundsPerStep + kSpreadRounds;
 }
 
 void LogReader::RunRound(const std::shared_ptr<SearchCall>& search) {
@@ -403,8 +390,8 @@
 void LogReader::SearchStore(const std::shared_ptr<SearchCall>& search) {
   const CallPointer& call = search->call;
   Topic* topic = TopicOf(call->query.topic);
-  auto turn = std::max(topic->search.store_at, store_from_);
-  if (search->asked_store || transport_->Now() < turn) return;
+  auto store_at = std::max(topic->search.store_at, attempts_.next_at());
+  if (search->asked_store || transport_->Now() < store_at) return;
   search->asked_store = true;
   ++search->outstanding;
   ReadStore(*call, false,
@@ -460,7 +447,7 @@
     if (IsForAnother(error)) {
       RecordStoreFailure(error);
     } else {
-      store_from_ = {};
+      attempts_.RecordSuccess();
       topic->relay.reset();
     }
     callback(error, std::move(page), has_more);
@@ -490,8 +477,7 @@
     is_cut_off_ = is_cut_off_ || now - heard_at_ > kCutOffSilence;
     return;
   }
-  auto factor = static_cast<int64_t>(1 + (boxes_.size() + 1) / kBoxesPerPause);
-  store_from_ = now + factor * DrawBetween(kLeastStorePause, kMostStorePause);
+  attempts_.RecordFailure(boxes_.size() + 1, transport_->Draw(), now);
 }
 
 void LogReader::RecordReply() {
--- a/leverwick/log_reader.h
+++ b/leverwick/log_reader.h
@@ -8,9 +8,9 @@
 //   another box read the store for it (a relayed read). The others notice
 //   nothing.
 // - Any other box searches: in rounds it asks a few boxes at random whether
-//   they know more, and turns to the store when its turn comes. What one box
-//   learns thus spreads to all in a number of rounds that grows with the
-//   logarithm of their number.
+//   they know more, and attempts to read the store at a time of its own
+//   (StoreAttempts). What one box learns thus spreads to all in a number of
+//   rounds that grows with the logarithm of their number.
 //
 //   LogReader reader(&store, &transport, self, max_readers);
 //   reader.SetBoxes(boxes);
@@ -31,6 +31,7 @@
 
 #include "leverwick/keyed_log.h"
 #include "leverwick/read_sources.h"
+#include "leverwick/store_attempts.h"
 #include "leverwick/time.h"
 
 namespace leverwick {
@@ -60,7 +61,7 @@
 struct SearchStart {
   std::string topic;
   nanoseconds age{0};          // of what this box knows
-  nanoseconds store_after{0};  // until this box's turn at the store
+  nanoseconds store_after{0};  // until this box's attempt at the store
 };
 
 // What LogReader needs from the process that it runs in.
@@ -116,7 +117,7 @@
   // A search that may go on over several reads, until one of them succeeds.
   struct Search {
     bool is_active = false;
-    TimePoint store_at{};  // this box's turn at the store
+    TimePoint store_at{};  // this box's attempt at the store
     int reads = 0;
   };
 
@@ -205,9 +206,8 @@
   // Boxes that did not answer a search or a relayed read, and until when they
   // are left out.
   std::map<std::string, TimePoint> silent_until_;
-  // While the store does not serve this box, and this box is no reader.
-  TimePoint store_from_{};
-  TimePoint heard_at_{};  // when another box or the store replied last
+  StoreAttempts attempts_;  // while this box is no reader
+  TimePoint heard_at_{};    // when another box or the store replied last
   // Neither the store nor any box can be reached.
   bool is_cut_off_ = false;
   // Expires with this, since the store may reply later.
--- a/leverwick/testing/log_reader_test.cc
+++ b/leverwick/testing/log_reader_test.cc
@@ -141,6 +141,25 @@
   }
 }
 
+TEST_CASE("boxes learn in time when a store that refused all serves some") {
+  for (size_t boxes : {200, 1000}) {
+    for (size_t refused : {boxes / 3, boxes - boxes / 10}) {
+      for (unsigned seed = 1; seed <= 3; ++seed) {
+        LogReaderScenario scenario;
+        scenario.boxes = boxes;
+        LogReaderSimulation centre(scenario, seed);
+        SetFault(&centre, Fault::kRefused, FirstBoxes(boxes));
+        centre.RunFor(seconds(20));
+        centre.refused = FirstBoxes(refused);
+        centre.Put();
+        CAPTURE(boxes);
+        CAPTURE(refused);
+        CHECK(centre.TimeToKnow(4 * kInForce) < kInForce);
+      }
+    }
+  }
+}
+
 TEST_CASE("boxes that were cut off return to their reader at once") {
   LogReaderSimulation centre(LogReaderScenario(), 5);
   std::set<size_t> cut;
