Log reader: search and choice of peers in modules of their own, field's terms

Change: PeerSampler holds the other boxes and those that did not reply; the search is in log_reader_search.cc; the list of boxes is kept once. No decision changes.

--- a/leverwick/log_reader.h
+++ b/leverwick/log_reader.h
@@ -30,7 +30,9 @@
 #include <vector>
 
 #include "leverwick/keyed_log.h"
+#include "leverwick/peer_sampler.h"
 #include "leverwick/read_sources.h"
+#include "leverwick/result.h"
 #include "leverwick/store_attempts.h"
 #include "leverwick/time.h"
 
@@ -117,7 +119,7 @@
   // A search that may go on over several reads, until one of them succeeds.
   struct Search {
     bool is_active = false;
-    TimePoint store_at{};  // this box's attempt at the store
+    TimePoint store_attempt_at{};  // this box's attempt at the store
     int reads = 0;
   };
 
@@ -142,18 +144,38 @@
     bool is_remote = false;  // of another data centre
   };
 
-  // One read, or one read of all newest records, on its way to an answer.
-  struct Call;
-  // The part of a call that searches.
-  struct SearchCall;
-  using CallPointer = std::shared_ptr<Call>;
   using CallCallback =
       std::function<void(std::error_code, LogPage, bool has_more)>;
+  // One read, or one read of all newest records, on its way to an answer.
+  struct Call {
+    LogQuery query;
+    bool snapshot = false;
+    int asks = 0;  // sources that were asked
+    bool source_failed = false;
+    std::error_code error = Result::kUnreachable;  // if no step succeeds
+    CallCallback callback;
+  };
+  using CallPointer = std::shared_ptr<Call>;
+  // The part of a call that searches.
+  struct SearchCall {
+    CallPointer call;
+    int rounds_left = 1;
+    size_t probes = 1;  // in a round
+    int outstanding = 0;
+    bool has_read_store = false;
+    bool is_over = false;
+  };
+
+  // Returns whether another source may do better.
+  static bool IsRetryable(std::error_code error);
+  static bool IsSilence(std::error_code error);
+  // Returns the age up to which the usual sources have time.
+  static nanoseconds FreshAgeOf(const LogQuery& query);
 
   Topic* TopicOf(const std::string& name);
   std::optional<Source> ChooseSource(const std::string& topic);
   // Whether this box is to read the store while others may read from it.
-  bool LeadsTopic(Topic* topic);
+  bool IsReaderOf(Topic* topic);
 
   void Start(const CallPointer& call);
   void AskSource(const CallPointer& call, const Source& source);
@@ -173,8 +195,8 @@
   void ReadStore(const Call& call, bool hold, CallCallback callback);
   void RecordStoreFailure(std::error_code error);
   void RecordReply();
-  void Judge(const std::string& topic, const LogBox& box,
-             std::error_code error);
+  void RecordResult(const std::string& topic, const LogBox& box,
+                    std::error_code error);
   // Ends the call with what the store replied.
   void Finish(const CallPointer& call, std::error_code error, LogPage page,
               bool has_more);
@@ -183,31 +205,30 @@
   void Fail(const CallPointer& call, std::error_code error);
 
   PeerRead PeerReadOf(const Call& call) const;
+  // Time for an answer beyond the time for which a read is held.
+  milliseconds AnswerTimeOf(const PeerRead& read) const;
   milliseconds SnapshotTime() const;
   milliseconds HoldOf(const LogQuery& query, const Topic& topic) const;
   nanoseconds AgeOf(const Topic& topic) const;
   // Returns whether there is time to wait for the usual sources.
-  bool IsYoung(const Topic& topic, const LogQuery& query) const;
+  bool IsFresh(const Topic& topic, const LogQuery& query) const;
   // Returns whether the page improves enough on what is known.
   bool IsNews(const Topic& topic, const LogQuery& query,
               const LogPage& page) const;
-  // Returns up to `count` other boxes that are not known to be silent.
-  std::vector<LogBox> DrawBoxes(size_t count, size_t among);
+  // Returns up to `count` of the first `among` other boxes.
+  std::vector<LogBox> SampleBoxes(size_t count, size_t among) const;
   nanoseconds DrawBetween(milliseconds least, milliseconds most);
 
   KeyedLog* const store_;
   LogTransport* const transport_;
   const LogBox self_;
   const int max_readers_;
-  std::vector<LogBox> boxes_;  // others of the data centre, in order of rank
   std::vector<LogBox> first_boxes_;
   std::set<std::string> fleet_topics_;
   std::map<std::string, Topic> topics_;
-  // Boxes that did not answer a search or a relayed read, and until when they
-  // are left out.
-  std::map<std::string, TimePoint> silent_until_;
-  StoreAttempts attempts_;  // while this box is no reader
-  TimePoint heard_at_{};    // when another box or the store replied last
+  PeerSampler peers_;          // the other boxes of the data centre
+  StoreAttempts attempts_;     // while this box is no reader
+  TimePoint last_reply_at_{};  // when another box or the store replied last
   // Neither the store nor any box can be reached.
   bool is_cut_off_ = false;
   // Expires with this, since the store may reply later.
--- a/leverwick/read_sources.cc
+++ b/leverwick/read_sources.cc
@@ -48,7 +48,7 @@
   return *readers[StableHash(self_.name) % readers.size()];
 }
 
-bool ReadSources::LeadsAt(TimePoint now) const {
+bool ReadSources::IsReaderAt(TimePoint now) const {
   int reachable = 0;
   for (const LogBox& box : preferred_boxes_) {
     auto it = failures_.find(box.name);
--- a/leverwick/read_sources.h
+++ b/leverwick/read_sources.h
@@ -51,7 +51,7 @@
   // Returns whether this box is among the readers as far as it can reach the
   // boxes that precede it. Boxes that reply, but with what is too old, precede
   // it still.
-  bool LeadsAt(TimePoint now) const;
+  bool IsReaderAt(TimePoint now) const;
   // Returns whether the box's last reply was not usable, or missing.
   bool HasFailed(const std::string& name) const {
     return failures_.count(name) > 0;
