Stream pace: the usual interval's logarithm is named as one

Cause: log_seconds read as a time that is not of std::chrono; it is the mean of natural logarithms. Change: mean_log, with its unit in a line. No behaviour changes; the cases of stream_pace_test pass.

--- a/leverwick/stream_pace.cc
+++ b/leverwick/stream_pace.cc
@@ -88,14 +88,14 @@
       return std::nullopt;
     auto middle = usual.first_logs.begin() + kMinObservations / 2;
     std::nth_element(usual.first_logs.begin(), middle, usual.first_logs.end());
-    usual.log_seconds = *middle;
+    usual.mean_log = *middle;
     usual.is_known = true;
     usual.first_logs.clear();
     return std::nullopt;
   }
-  double step = std::clamp(at_average - usual.log_seconds, -kMaxStep, kMaxStep);
-  usual.log_seconds += kUsualWeight * step;
-  return std::exp(observed - usual.log_seconds);
+  double step = std::clamp(at_average - usual.mean_log, -kMaxStep, kMaxStep);
+  usual.mean_log += kUsualWeight * step;
+  return std::exp(observed - usual.mean_log);
 }
 
 }  // namespace leverwick
--- a/leverwick/stream_pace.h
+++ b/leverwick/stream_pace.h
@@ -58,7 +58,7 @@
  private:
   struct Usual {
     bool is_known = false;
-    double log_seconds = 0;
+    double mean_log = 0;  // natural logarithm of the interval in seconds
     std::vector<double> first_logs;  // until it is known
   };
   std::unordered_map<std::string, Usual> usual_;
