Log reader: rounds of a search and pauses between tries are jittered

Cause: boxes that lose their reader at the same moment ran the rounds of their searches, and tried their sources again, at the same moments. Change: a quarter of the pause to either side, drawn by each box.

--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -50,6 +50,8 @@
 // Time for which a relay is used without an attempt to do without it.
 constexpr milliseconds kMinRelayTime{1500};
 constexpr milliseconds kMaxRelayTime{3000};
+// Of a pause, to either side: boxes that fail together do not go on together.
+constexpr int kJitterShare = 4;
 
 milliseconds WholeMilliseconds(nanoseconds span) {
   return std::chrono::duration_cast<milliseconds>(span);
@@ -432,7 +434,12 @@
                        [this] { return transport_->Draw(); });
 }
 
-nanoseconds LogReader::DrawBetween(milliseconds least, milliseconds most) {
+nanoseconds LogReader::Jittered(milliseconds span) const {
+  return DrawBetween(span - span / kJitterShare, span + span / kJitterShare);
+}
+
+nanoseconds LogReader::DrawBetween(milliseconds least,
+                                   milliseconds most) const {
   return least + FromSeconds(ToSeconds(most - least) * transport_->Draw());
 }
 
--- a/leverwick/log_reader.h
+++ b/leverwick/log_reader.h
@@ -217,7 +217,8 @@
               const LogPage& page) const;
   // Returns up to `count` of the first `among` other boxes.
   std::vector<LogBox> SampleBoxes(size_t count, size_t among) const;
-  nanoseconds DrawBetween(milliseconds least, milliseconds most);
+  nanoseconds DrawBetween(milliseconds least, milliseconds most) const;
+  nanoseconds Jittered(milliseconds span) const;
 
   KeyedLog* const store_;
   LogTransport* const transport_;
--- a/leverwick/log_reader_search.cc
+++ b/leverwick/log_reader_search.cc
@@ -58,7 +58,7 @@
 }
 
 void LogReader::RetrySources(const CallPointer& call, nanoseconds until_old) {
-  transport_->RunAfter(std::min<nanoseconds>(until_old, kSourcePause),
+  transport_->RunAfter(std::min(until_old, Jittered(kSourcePause)),
                        [this, call] {
                          call->asks = 0;
                          Start(call);
@@ -81,7 +81,8 @@
   } else if (search->outstanding == 0) {
     return EndSearch(search);
   }
-  transport_->RunAfter(kRoundTime, [this, search] { RunRound(search); });
+  transport_->RunAfter(Jittered(kRoundTime),
+                       [this, search] { RunRound(search); });
 }
 
 void LogReader::SearchStore(const std::shared_ptr<SearchCall>& search) {
