--- a/leverwick/testing/log_reader_simulation.h
+++ b/leverwick/testing/log_reader_simulation.h
@@ -2,8 +2,8 @@
 // LogReader, a follower and a cache as in the process.
 //
 // Messages take time on their way, and a box handles them one after the other.
-// A box may be refused by the store, cut off from everything, or frozen. Time
-// is simulated and there is no network; the seed determines every run.
+// A box may be refused by the store, cut off from everything, frozen or slow.
+// Time is simulated and there is no network; the seed determines every run.
 
 #ifndef LEVERWICK_TESTING_LOG_READER_SIMULATION_H_
 #define LEVERWICK_TESTING_LOG_READER_SIMULATION_H_
@@ -53,10 +53,12 @@
     RunFor(std::chrono::seconds(3));
   }
 
-  // Boxes that the store refuses, that reach nobody, and that do not run.
+  // Boxes that the store refuses, that reach nobody, that do not run, and that
+  // need kSlowFactor times as long for a message.
   std::set<size_t> refused;
   std::set<size_t> cut;
   std::set<size_t> frozen;
+  std::set<size_t> slow;
   // Whether one box reaches another, unless one of them is cut off.
   std::function<bool(size_t, size_t)> reaches = [](size_t, size_t) {
     return true;
@@ -134,6 +136,7 @@
   static constexpr milliseconds kStoreTime{4};
   static constexpr milliseconds kWayTime{1};
   static constexpr milliseconds kConnectTime{200};
+  static constexpr int kSlowFactor = 100;
   static constexpr const char* kTopic = "t";
 
   struct Event {
@@ -263,12 +266,15 @@
   void Deliver(size_t box, TimePoint at, std::function<void()> action) {
     At(at, [this, box, action = std::move(action)] {
       Box& receiver = *boxes_[box];
-      receiver.free_at = std::max(receiver.free_at, now_) + scenario_.handling;
+      nanoseconds time = scenario_.handling;
+      if (slow.count(box) > 0) time *= kSlowFactor;
+      receiver.free_at = std::max(receiver.free_at, now_) + time;
       AtBox(box, receiver.free_at, action);
     });
   }
   bool Works(size_t box) const {
-    return cut.count(box) == 0 && frozen.count(box) == 0;
+    return cut.count(box) == 0 && frozen.count(box) == 0 &&
+           slow.count(box) == 0;
   }
   static size_t MostPerSecond(const std::vector<TimePoint>& times) {
     size_t most = 0;
--- a/leverwick/testing/log_reader_test.cc
+++ b/leverwick/testing/log_reader_test.cc
@@ -19,10 +19,11 @@
 constexpr milliseconds kInForce{5000};
 constexpr milliseconds kProofAge{4700};
 
-enum class Fault { kRefused, kCut, kFrozen };
+enum class Fault { kRefused, kCut, kFrozen, kSlow };
 
-constexpr Fault kFaults[] = {Fault::kRefused, Fault::kCut, Fault::kFrozen};
-const std::string kFaultNames[] = {"refused", "cut off", "frozen"};
+constexpr Fault kFaults[] = {Fault::kRefused, Fault::kCut, Fault::kFrozen,
+                             Fault::kSlow};
+const std::string kFaultNames[] = {"refused", "cut off", "frozen", "slow"};
 
 std::set<size_t> FirstBoxes(size_t count) {
   std::set<size_t> boxes;
@@ -46,6 +47,7 @@
   if (fault == Fault::kRefused) centre->refused = boxes;
   if (fault == Fault::kCut) centre->cut = boxes;
   if (fault == Fault::kFrozen) centre->frozen = boxes;
+  if (fault == Fault::kSlow) centre->slow = boxes;
   centre->BreakHeldReads();
 }
 
