--- a/leverwick/store_attempts.cc
+++ b/leverwick/store_attempts.cc
@@ -34,8 +34,8 @@
 }
 
 void StoreAttempts::RecordFailure(size_t boxes, double draw, TimePoint now) {
-  auto factor = static_cast<double>(1 + 2 * (boxes / kBoxesPerSpread));
-  next_at_ = now + kMinPause + FromSeconds(ToSeconds(kSpread) * factor * draw);
+  const milliseconds spread = kSpread * (1 + 2 * (boxes / kBoxesPerSpread));
+  next_at_ = now + kMinPause + FromSeconds(ToSeconds(spread) * draw);
   relay_at_ = now + kMinPause;
 }
 
