Partition detector: refused test connections are followed by a second round

Cause: the verdict rests on three test connections drawn at random. Where most endpoints have ended, all three often meet ended ones: 239 of 1,000 simulated draws with 9 of 12 ended, 361 with 18 of 24, 368 with 36 of 48. Change: if the test connections of the first round are refused while endpoints are left that have not failed, nine more are opened before the verdict. Ended processes refuse and don't hang, so timeouts bring no second round; the verdict on a partition with refusals comes one round trip later.

--- a/leverwick/partition_detector.cc
+++ b/leverwick/partition_detector.cc
@@ -4,6 +4,10 @@
 // within a millisecond or two, often sooner than the first of these connections
 // is accepted, and so a partition does not begin while one of them is under
 // way, or while the next ones are not due yet.
+//
+// Requests prefer endpoints that look idle, so their failures say nothing of
+// how many endpoints have ended. Test connections are drawn at random: with a
+// share s of the others ended, k of them all fail with the probability s^k.
 
 #include "leverwick/partition_detector.h"
 
@@ -19,6 +23,7 @@
 // Failures of a service with fewer endpoints.
 constexpr size_t kMinFailures = 3;
 constexpr size_t kProbesAtOnce = 3;
+constexpr size_t kProbesInSecondRound = 9;
 // Endpoints to which no test connection is opened again before others.
 constexpr size_t kMaxExcluded = 64;
 // A single contact may be the one that a flapping link lets through.
@@ -53,11 +58,22 @@
   state.is_suspect = distinct >= std::min(kFailuresToSuspect, reachable);
   bool is_confirmed = state.failures >= kMinFailures &&
                       distinct >= std::min(kFailuresToConfirm, reachable);
-  if (is_confirmed && !AwaitsProbes(state, now)) Begin(service, &state, now);
+  if (!is_confirmed || AwaitsProbes(state, now)) return;
+  if (!NeedsSecondRound(state, listed)) return Begin(service, &state, now);
+  state.is_second_round_due = true;
+  state.next_probe = now;
+}
+
+bool PartitionDetector::NeedsSecondRound(const Service& service,
+                                         size_t listed) {
+  bool are_others_left = service.failed_endpoints.size() < listed;
+  return service.last_kind == Failure::kRefused && service.is_tested &&
+         !service.is_tested_twice && are_others_left;
 }
 
 bool PartitionDetector::AwaitsProbes(const Service& service, TimePoint now) {
-  bool are_still_to_come = !service.is_tested && now < service.next_probe;
+  bool are_still_to_come = service.is_second_round_due ||
+                           (!service.is_tested && now < service.next_probe);
   if (are_still_to_come) return true;
   // An endpoint that has failed meanwhile is known already.
   const auto& probed = service.probed_endpoints;
@@ -117,6 +133,8 @@
   state.any_closed = false;
   state.is_suspect = false;
   state.is_tested = false;
+  state.is_second_round_due = false;
+  state.is_tested_twice = false;
   state.next_probe = std::min(state.next_probe, now + kConfirmInterval);
   if (!state.is_partitioned) return;
   if (now - state.contacts_since > kContactWindow) {
@@ -154,7 +172,11 @@
     if (!is_wanted || now < service.next_probe) continue;
     service.next_probe = now + kProbeInterval;
     service.is_tested = true;
-    due.push_back({name, kProbesAtOnce, service.failed_endpoints});
+    size_t count =
+        service.is_second_round_due ? kProbesInSecondRound : kProbesAtOnce;
+    if (service.is_second_round_due) service.is_tested_twice = true;
+    service.is_second_round_due = false;
+    due.push_back({name, count, service.failed_endpoints});
   }
   return due;
 }
--- a/leverwick/partition_detector.h
+++ b/leverwick/partition_detector.h
@@ -5,7 +5,9 @@
 // endpoints of a service fail in a row and none of them is contacted in
 // between, this box may have lost its own path to them, and it opens test
 // connections to others. If these fail as well it counts as partitioned:
-// requests should take another way, and test connections go on. However many
+// requests should take another way, and test connections go on. Refusals are
+// also what endpoints that have ended together cause, so where test connections
+// are refused a second, larger round has to fail too. However many
 // requests fail meanwhile, it does not count as partitioned before the test
 // connections have ended. The partition is over after several contacts within a
 // short time; one that returns soon after its end needs more of them.
@@ -119,7 +121,10 @@
     TimePoint contacts_since{};
     int required_contacts = 0;
     bool is_suspect = false;  // test connections are due
-    bool is_tested = false;   // some were due since the last contact
+    // Rounds of test connections since the last contact.
+    bool is_tested = false;
+    bool is_second_round_due = false;
+    bool is_tested_twice = false;
     std::multiset<std::string> probed_endpoints;  // test connections under way
     TimePoint next_probe{};
     TimePoint next_trial{};
@@ -127,6 +132,7 @@
 
   // Whether test connections may still show that the endpoints are reachable.
   static bool AwaitsProbes(const Service& service, TimePoint now);
+  static bool NeedsSecondRound(const Service& service, size_t listed);
   void Begin(const std::string& name, Service* service, TimePoint now);
   void End(const std::string& name, Service* service, TimePoint now);
 
