Test: orders accepted during a roll-out are set up in one place

Three tests of EndpointScaler began with the same eight lines. A fixture holds them; each test also checks the first order's size now.

--- a/leverwick/testing/endpoint_scaler_test.cc
+++ b/leverwick/testing/endpoint_scaler_test.cc
@@ -228,33 +228,38 @@
   CHECK(scaler.DueOrders(scaling, kPlaces, supply, false, calm).empty());
 }
 
-TEST_CASE("endpoints that boot are not called off during a roll-out") {
-  EndpointScaler scaler("chat");
+// A roll-out of a service with ten endpoints, of which an order was accepted.
+struct OrderedInRollout {
   EndpointScaling scaling = Scaling(0);
+  EndpointScaler scaler{"chat"};
   SupplyByDataCentre supply = {{"a", {10, 0}}};
-  scaler.RecordDemand(256, kStart);
-  auto due = scaler.DueOrders(scaling, kPlaces, supply, true, kStart);
-  REQUIRE(due.size() == 1);
-  REQUIRE(due[0].desired == 40);
-  scaler.RecordAccepted(due[0], kStart);
+
+  OrderedInRollout(double in_flight, size_t desired) {
+    scaler.RecordDemand(in_flight, kStart);
+    auto due = Due(kStart);
+    REQUIRE(due.size() == 1);
+    REQUIRE(due[0].desired == desired);
+    scaler.RecordAccepted(due[0], kStart);
+  }
+  std::vector<ScaleOrder> Due(TimePoint now) {
+    return scaler.DueOrders(scaling, kPlaces, supply, true, now);
+  }
+};
+
+TEST_CASE("endpoints that boot are not called off during a roll-out") {
+  OrderedInRollout rollout(256, 40);
   // The peak is forgotten.
   TimePoint later = kStart + std::chrono::seconds(31);
-  scaler.RecordDemand(128, later);
-  CHECK(scaler.DueOrders(scaling, kPlaces, supply, true, later).empty());
+  rollout.scaler.RecordDemand(128, later);
+  CHECK(rollout.Due(later).empty());
 }
 
 TEST_CASE("what is lost before an order is met is ordered again at once") {
-  EndpointScaler scaler("chat");
-  EndpointScaling scaling = Scaling(0);
-  SupplyByDataCentre supply = {{"a", {10, 0}}};
-  scaler.RecordDemand(128, kStart);
-  auto due = scaler.DueOrders(scaling, kPlaces, supply, true, kStart);
-  REQUIRE(due.size() == 1);
-  scaler.RecordAccepted(due[0], kStart);
+  OrderedInRollout rollout(128, 20);
   TimePoint later = kStart + std::chrono::seconds(1);
-  CHECK(scaler.DueOrders(scaling, kPlaces, supply, true, later).empty());
-  supply["a"].regular = 2;
-  CHECK(scaler.DueOrders(scaling, kPlaces, supply, true, later).size() == 1);
+  CHECK(rollout.Due(later).empty());
+  rollout.supply["a"].regular = 2;
+  CHECK(rollout.Due(later).size() == 1);
 }
 
 // The load: all requests run on the target, but the platform starts endpoints
@@ -310,18 +315,12 @@
 }
 
 TEST_CASE("an order that is never followed blocks lower raises for a while") {
-  EndpointScaler scaler("chat");
-  EndpointScaling scaling = Scaling(0);
-  SupplyByDataCentre supply = {{"a", {10, 0}}};
-  scaler.RecordDemand(256, kStart);
-  auto due = scaler.DueOrders(scaling, kPlaces, supply, true, kStart);
-  REQUIRE(due.size() == 1);
-  scaler.RecordAccepted(due[0], kStart);
+  OrderedInRollout rollout(256, 40);
   TimePoint later = kStart + std::chrono::seconds(39);
-  scaler.RecordDemand(128, later);
-  CHECK(scaler.DueOrders(scaling, kPlaces, supply, true, later).empty());
-  later = kStart + 10 * scaling.boot_time;
-  due = scaler.DueOrders(scaling, kPlaces, supply, true, later);
+  rollout.scaler.RecordDemand(128, later);
+  CHECK(rollout.Due(later).empty());
+  later = kStart + 10 * rollout.scaling.boot_time;
+  auto due = rollout.Due(later);
   REQUIRE(due.size() == 1);
   CHECK(due[0].desired == 20);
 }
