Test: the cost of a page is compared at sizes that tell growth from caches

Cause: 100 entries fit the caches of a core and 1,000 do not, so the ratio of a linear cost itself reaches the bound on a busy machine. Change: 12,000 against 1,200 entries, neither of which fits, 30 times as dear at most: between the 10 of a linear and the 100 of a quadratic cost.

--- a/daemon/testing/endpoint_directory_test.cc
+++ b/daemon/testing/endpoint_directory_test.cc
@@ -279,11 +279,11 @@
 }
 
 TEST_CASE("the cost of a page grows with its entries") {
-  constexpr size_t kFew = 100;
-  constexpr size_t kMany = 1000;
-  // Ten times as many may cost ten times as much, and half as much again for
-  // larger tables; a cost of entries times endpoints would be a hundred times.
-  constexpr double kMost = 15;
+  constexpr size_t kFew = 1200;
+  constexpr size_t kMany = 12000;
+  // Between the ten times of a cost that grows with the entries, dearer where
+  // tables outgrow the caches, and the hundred of entries times endpoints.
+  constexpr double kMost = 30;
   double few = CostOfPages(kFew).count();
   double many = CostOfPages(kMany).count();
   CAPTURE(few);
