Partition detector: the second round holds at the fleet's size

Seen on reading the change again: its bound, one box in a hundred, was tested with 12, 24 and 48 endpoints only. With three quarters ended of 1,000 and 10,000 endpoints 26 and 25 of 1,000 draws were taken for a partition (10 allowed). Cause: of many endpoints twelve test connections all meet ended ones with the probability 0.75^12, 3.2 of 100; in small services no others are left to draw. Change: fifteen connections in the second round (0.75^18, 0.6 of 100); the test plays 1,000 and 10,000 endpoints too.

--- a/leverwick/partition_detector.cc
+++ b/leverwick/partition_detector.cc
@@ -23,7 +23,7 @@
 // Failures of a service with fewer endpoints.
 constexpr size_t kMinFailures = 3;
 constexpr size_t kProbesAtOnce = 3;
-constexpr size_t kProbesInSecondRound = 9;
+constexpr size_t kProbesInSecondRound = 15;
 // Endpoints to which no test connection is opened again before others.
 constexpr size_t kMaxExcluded = 64;
 // A single contact may be the one that a flapping link lets through.
--- a/leverwick/testing/partition_detector_test.cc
+++ b/leverwick/testing/partition_detector_test.cc
@@ -151,8 +151,8 @@
   for (int i = 0; i < 3; ++i) Fail(EndProbe());
   CHECK_FALSE(detector.IsPartitioned("s"));
   BeginDueProbes();
-  CHECK(probed.size() == 9);
-  for (int i = 0; i < 8; ++i) Fail(EndProbe());
+  REQUIRE(probed.size() == 15);
+  for (int i = 0; i < 14; ++i) Fail(EndProbe());
   CHECK_FALSE(detector.IsPartitioned("s"));
   EndProbe();
   CHECK(Accept());
@@ -398,7 +398,7 @@
 
 TEST_CASE("endpoints that end together are rarely taken for a partition") {
   constexpr uint32_t kSeeds = 1000;
-  for (int listed : {12, 24, 48}) {
+  for (int listed : {12, 24, 48, 1000, 10000}) {
     CAPTURE(listed);
     int taken = 0;
     for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
