Lines name the parts of a prompt: what runs under an end have in common

No line told which prompt parts the runs under an end of an endpoint share, so requests that return unchanged and requests that share a part could not be told apart. Parts are named by digests that reveal no id.

--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -35,6 +35,25 @@
   return names.empty() ? "none" : names;
 }
 
+// Names the parts that most of the runs have in common, with their numbers.
+std::string PartsOf(const std::vector<EndpointRun>& runs) {
+  std::map<PartDigest, size_t> counts;
+  for (const EndpointRun& run : runs) {
+    if (run.parts == nullptr) continue;
+    for (PartDigest part : *run.parts) ++counts[part];
+  }
+  std::multimap<size_t, PartDigest, std::greater<>> by_count;
+  for (const auto& [part, count] : counts) by_count.emplace(count, part);
+  std::string names;
+  size_t named = 0;
+  for (const auto& [count, part] : by_count) {
+    if (named++ == kMostNamed) break;
+    if (!names.empty()) names += ",";
+    names += ShortHex(part) + ":" + std::to_string(count);
+  }
+  return names.empty() ? "none" : names;
+}
+
 size_t CountOf(const std::vector<EndpointRun>& runs, RunOutcome how) {
   size_t count = 0;
   for (const EndpointRun& run : runs) {
@@ -179,7 +198,8 @@
        {"under_way", std::to_string(CountOf(under, RunOutcome::kDisconnected))},
        {"given_up", std::to_string(CountOf(under, RunOutcome::kAbandoned))},
        {"whole", std::to_string(CountOf(under, RunOutcome::kComplete))},
-       {"digests", NamesOf(under)}});
+       {"digests", NamesOf(under)},
+       {"parts", PartsOf(under)}});
   on_ended_({endpoint, at, std::move(under)});
 }
 
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -50,6 +50,7 @@
       service_(PickService(route, relay->Draw())),
       digest_(ComputeRequestDigest({request_.host, exchange_->head().target,
                                     holder_.organisation, exchange_->body()})),
+      parts_(ComputePartDigests(service_, request_.prompt)),
       timer_(*relay->loop_),
       log_(route.repeatable(), MaxAttempts(route, origin_)) {}
 
@@ -268,7 +269,7 @@
                                            bounds, try_->sent_at);
   relay_->rollouts_.RecordSend(service_, request_.session, endpoint.version);
   try_->run = relay_->ends_.runs()->RecordStart(
-      digest_, endpoint.id, endpoint.version, try_->sent_at);
+      digest_, endpoint.id, endpoint.version, try_->sent_at, parts_);
   TellSend(endpoint);
   try_->call =
       relay_->connections_.Send(endpoint.address, RequestFor(endpoint), this);
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -187,6 +187,7 @@
   // Logs and metrics; in relayed_request_log.cc.
   static constexpr char kAnswered[] = "answered";  // an outcome of Finish
   std::string LastEvent() const;
+  std::string PartsText() const;
   // Describes the endpoint that was preferred but has reached its rate limit.
   std::string PreferredText() const;
   // Logs that rate limits or back-offs exclude all endpoints.
@@ -229,6 +230,7 @@
   const RequestTerms terms_;
   const std::string service_;
   const RequestDigest digest_;
+  const PartDigests parts_;
   boost::asio::steady_timer timer_;
   TimePoint deadline_{};
   AttemptHistory log_;
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -12,6 +12,8 @@
 namespace {
 
 const Log kLog("request");
+// Parts of a prompt that one line names.
+constexpr size_t kMostPartsNamed = 8;
 
 }  // namespace
 
@@ -19,6 +21,16 @@
   return events_.last_id().empty() ? "none" : events_.last_id();
 }
 
+std::string RelayedRequest::PartsText() const {
+  if (parts_ == nullptr) return "none";
+  std::string names;
+  for (size_t i = 0; i < parts_->size() && i < kMostPartsNamed; ++i) {
+    if (i > 0) names += ",";
+    names += ShortHex((*parts_)[i]);
+  }
+  return names;
+}
+
 std::string RelayedRequest::PreferredText() const {
   bool is_elsewhere = !preferred_.empty() && preferred_ != try_->endpoint;
   if (!is_elsewhere) return "none";
@@ -211,7 +223,8 @@
              {"events", std::to_string(events_.event_count())},
              {"outcome", outcome},
              {"took_ms", std::to_string(std::lround(took.count() * 1000))},
-             {"digest", digest_.ShortHex()}});
+             {"digest", digest_.ShortHex()},
+             {"parts", PartsText()}});
 }
 
 void RelayedRequest::TellSend(const DirectoryEntry& endpoint) {
@@ -235,7 +248,8 @@
        {"backoffs", relay_->backoffs_.DescribeService(service_, try_->sent_at)},
        {"proof_age_ms", std::to_string(relay_->ProofAge().count())},
        {"time_left_ms", std::to_string(TimeLeft(try_->sent_at).count())},
-       {"digest", digest_.ShortHex()}});
+       {"digest", digest_.ShortHex()},
+       {"parts", PartsText()}});
 }
 
 }  // namespace leverwick
--- a/leverwick/recent_runs.cc
+++ b/leverwick/recent_runs.cc
@@ -9,9 +9,11 @@
 
 uint64_t RecentRuns::RecordStart(const RequestDigest& request,
                                  const std::string& endpoint,
-                                 const std::string& version, TimePoint now) {
+                                 const std::string& version, TimePoint now,
+                                 PartDigests parts) {
   EndpointRun run;
   run.request = request;
+  run.parts = std::move(parts);
   run.endpoint = endpoint;
   run.version = version;
   run.started_at = now;
--- a/leverwick/recent_runs.h
+++ b/leverwick/recent_runs.h
@@ -27,6 +27,7 @@
 #include <string>
 #include <vector>
 
+#include "leverwick/part_digest.h"
 #include "leverwick/request_digest.h"
 #include "leverwick/time.h"
 
@@ -40,6 +41,7 @@
 
 struct EndpointRun {
   RequestDigest request;
+  PartDigests parts;  // of the request's prompt
   std::string endpoint;
   std::string version;
   TimePoint started_at{};
@@ -62,7 +64,7 @@
   // Records the start of a run and returns the id of the run.
   uint64_t RecordStart(const RequestDigest& request,
                        const std::string& endpoint, const std::string& version,
-                       TimePoint now);
+                       TimePoint now, PartDigests parts = nullptr);
   // Discards a run that never started at the endpoint.
   void Discard(const std::string& endpoint, uint64_t run);
   void RecordEnd(const std::string& endpoint, uint64_t run, RunOutcome outcome,
