Poison parts: requests with a prompt part that ends endpoints are held

Callers saw: requests of one kind ended 84 endpoints in 30 s, one after the other, and were sent on 46 to 49 times after the fifth end; of sound requests with the same first part a tenth was served.

Cause: what is remembered of an end is a digest of whole requests. Requests that share a part and are otherwise all different have a digest each, so none has a second end. Class: harm is put down to the sameness of the whole.

Change: leverwick/poison_parts ranks the parts of all runs under ends by ends since the last sound answer, less the logarithm of sound answers before, and lets the most suspicious one explain its ends (fault localisation by spectrum). It holds for the organisations whose requests ended endpoints. The boxes tell each other strikes, sound answers, claims of trials; one box begins a trial. An answer that reports a failure shows no part to be sound.

--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -197,7 +197,8 @@
       {{"endpoint", endpoint},
        {"under_way", std::to_string(CountOf(under, RunOutcome::kDisconnected))},
        {"given_up", std::to_string(CountOf(under, RunOutcome::kAbandoned))},
-       {"whole", std::to_string(CountOf(under, RunOutcome::kComplete))},
+       {"whole", std::to_string(CountOf(under, RunOutcome::kComplete) +
+                                CountOf(under, RunOutcome::kFailed))},
        {"digests", NamesOf(under)},
        {"parts", PartsOf(under)}});
   on_ended_({endpoint, at, std::move(under)});
--- a/daemon/poison_exchange.cc
+++ b/daemon/poison_exchange.cc
@@ -34,19 +34,21 @@
 }  // namespace
 
 PoisonExchange::PoisonExchange(boost::asio::io_context* loop, KeyedLog* log,
-                               PoisonRequests* poison, EndpointEnds* ends,
-                               std::string box, std::string topic)
+                               PoisonFindings findings, std::string box,
+                               std::string topic)
     : log_(log),
-      poison_(poison),
-      ends_(ends),
+      findings_(findings),
       box_(std::move(box)),
       topic_(std::move(topic)),
       follower_(loop, log, {topic_, kHeldRead, kReadPause, kMostAge}, this) {}
 
 void PoisonExchange::Tick(TimePoint now) {
   if (!follower_.running()) return;
-  poison_->SetConnectedToPeers(now - heard_at_ <= kMostAge);
-  due_ = poison_->TakeChangeFlag() || due_;
+  bool in_touch = now - heard_at_ <= kMostAge;
+  findings_.requests->SetConnectedToPeers(in_touch);
+  findings_.parts->SetConnectedToPeers(in_touch);
+  due_ = findings_.requests->TakeChangeFlag() || due_;
+  due_ = findings_.parts->TakeChangeFlag() || due_;
   bool may_write = !writing_ && now >= write_after_;
   if (due_ && may_write) Write(now);
 }
@@ -58,7 +60,9 @@
     Learn(record, false);
   }
   // What this box had told is gone.
-  if (!has_own && poison_->size() > 0) due_ = true;
+  bool has_findings =
+      findings_.requests->size() > 0 || findings_.parts->size() > 0;
+  if (!has_own && has_findings) due_ = true;
 }
 
 void PoisonExchange::OnRecord(const KeyedRecord& record) {
@@ -80,16 +84,19 @@
     age = std::max(age, milliseconds(0));
   }
   if (age > PoisonRequests::kRetention) return;
-  auto ended = poison_->Merge(notes, Clock::now() - age, own);
+  TimePoint as_of = Clock::now() - age;
+  auto ended = findings_.requests->Merge(notes, as_of, own);
+  ended.merge(findings_.parts->Merge(notes, as_of, own));
   for (const auto& [life, at] : ended)
-    ends_->Told(EndpointIdFromIncarnation(life), at);
+    findings_.ends->Told(EndpointIdFromIncarnation(life), at);
 }
 
 void PoisonExchange::Write(TimePoint now) {
   due_ = false;
   writing_ = true;
   PoisonNotes notes =
-      poison_->BuildNotes(now, std::chrono::system_clock::now());
+      findings_.requests->BuildNotes(now, std::chrono::system_clock::now());
+  findings_.parts->AppendNotes(now, &notes);
   KeyedRecord record{box_, notes.SerializeAsString()};
   log_->Append(topic_, record, std::nullopt,
                [this](std::error_code error) { OnWritten(error); });
--- a/daemon/poison_exchange.h
+++ b/daemon/poison_exchange.h
@@ -5,7 +5,8 @@
 // reaches all others that are in touch with the store, also those that start
 // later. While nothing ends by itself nothing is written.
 //
-//   PoisonExchange exchange(&loop, &log, &poison, &ends, "box-a1", topic);
+//   PoisonExchange exchange(&loop, &log, {&requests, &parts, &ends}, "box-a1",
+//                           topic);
 //   exchange.Start();
 //   exchange.Tick(now);
 
@@ -20,16 +21,23 @@
 #include "daemon/endpoint_ends.h"
 #include "daemon/topic_follower.h"
 #include "leverwick/keyed_log.h"
+#include "leverwick/poison_parts.h"
 #include "leverwick/poison_requests.h"
 
 namespace leverwick {
 
+// What is told and heard; must outlive the exchange.
+struct PoisonFindings {
+  PoisonRequests* requests = nullptr;
+  PoisonParts* parts = nullptr;
+  EndpointEnds* ends = nullptr;
+};
+
 // Belongs to the thread that runs its event loop.
 class PoisonExchange : private TopicFollower::Listener {
  public:
   PoisonExchange(boost::asio::io_context* loop, KeyedLog* log,
-                 PoisonRequests* poison, EndpointEnds* ends, std::string box,
-                 std::string topic);
+                 PoisonFindings findings, std::string box, std::string topic);
 
   void Start() { follower_.Start(); }
   // Writes what is due; called a few times a second and after each end.
@@ -52,8 +60,7 @@
   void OnWritten(std::error_code error);
 
   KeyedLog* const log_;
-  PoisonRequests* const poison_;
-  EndpointEnds* const ends_;
+  const PoisonFindings findings_;
   const std::string box_;
   const std::string topic_;
   TopicFollower follower_;
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -52,6 +52,7 @@
       ends_(loop, &directory_, &rollouts_, &connections_),
       demand_(Clock::now()),
       poison_(options.life),
+      poison_parts_(options.life),
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {
   ends_.OnEnded([this](const EndpointEnd& end) { OnEndpointEnd(end); });
@@ -61,8 +62,10 @@
   });
   directory_.OnUnlisted(
       [this](const std::string& id) { loads_.speeds()->Remove(id); });
-  directory_.OnGone(
-      [this](const std::string& life) { poison_.RecordEndpointRemoved(life); });
+  directory_.OnGone([this](const std::string& life) {
+    poison_.RecordEndpointRemoved(life);
+    poison_parts_.RecordEndpointRemoved(life);
+  });
 }
 
 Relay::~Relay() = default;
@@ -75,7 +78,9 @@
   reach_.RecordResponse(endpoint);
   // The word of another one at its address says that it has ended.
   if (answer.other_endpoint) return;
-  poison_.RecordResponse(directory_.LifeOf(endpoint), answered.sent_at);
+  std::string life = directory_.LifeOf(endpoint);
+  poison_.RecordResponse(life, answered.sent_at);
+  poison_parts_.RecordResponse(life, answered.sent_at);
   limits_.Answered(endpoint, answer, answered.sent_at, now);
   backoffs_.Answered(endpoint, answer, now);
   // One that names a time is believed.
@@ -122,11 +127,13 @@
   std::vector<EndpointRun> under = end.under;
   for (EndpointRun& run : under) run.endpoint = directory_.LifeOf(run.endpoint);
   poison_.RecordCrash(under, end.at);
+  poison_parts_.RecordCrash(under, end.at);
   TellPoison();
   ends_told_();
 }
 
 PoisonVerdict Relay::JudgeRequest(const RequestDigest& digest,
+                                  const PartDigests& parts,
                                   const std::string& service,
                                   TimePoint now) const {
   std::string target =
@@ -134,7 +141,10 @@
   auto is_listed = [&](const std::string& version) {
     return directory_.VersionsOf(service).count(version) > 0;
   };
-  return poison_.Evaluate(digest, target, is_listed, now);
+  return StricterVerdict(
+      poison_.Evaluate(digest, target, is_listed, now),
+      poison_parts_.Evaluate({parts, digest.organisation_hash()}, target,
+                             is_listed, now));
 }
 
 void Relay::TellPoison() {
@@ -151,6 +161,28 @@
                  news.quarantined ? "verdict=\"held\"" : "verdict=\"let_in\"",
                  1);
   }
+  TellPoisonParts();
+}
+
+void Relay::TellPoisonParts() {
+  for (const PartQuarantineChange& news :
+       poison_parts_.TakeQuarantineChanges()) {
+    std::string endpoints;
+    for (const std::string& endpoint : news.endpoints) {
+      endpoints += (endpoints.empty() ? "" : ",") + endpoint;
+    }
+    kLog.Warning(
+        news.quarantined
+            ? "A prompt part ends endpoints; requests with it are held."
+            : "Requests with a held prompt part are let in again.",
+        {{"part", ShortHex(news.part)},
+         {"ended", endpoints.empty() ? "none" : endpoints},
+         {"requests", std::to_string(news.requests)},
+         {"answered", std::to_string(news.healthy_runs)}});
+    metrics_.Add("leverwick_poison_part_verdicts_total",
+                 news.quarantined ? "verdict=\"held\"" : "verdict=\"let_in\"",
+                 1);
+  }
 }
 
 bool Relay::SetConfig(ServiceConfig config) {
@@ -276,8 +308,10 @@
   partition_.Tick(now);
   for (const EndpointRun& run : ends_.TakeSurvived(now)) {
     poison_.RecordSurvivedRun(run, now);
+    poison_parts_.RecordSurvivedRun(run, now);
   }
   poison_.Expire(now);
+  poison_parts_.Expire(now);
   TellPoison();
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -36,6 +36,7 @@
 #include "leverwick/key_validity.h"
 #include "leverwick/model_cascade.h"
 #include "leverwick/place_claim.h"
+#include "leverwick/poison_parts.h"
 #include "leverwick/poison_requests.h"
 #include "leverwick/read_proof.h"
 #include "leverwick/recent_refusals.h"
@@ -103,6 +104,7 @@
   ServiceRollouts* rollouts() { return &rollouts_; }
   RegressionDetector* guard() { return &guard_; }
   PoisonRequests* poison() { return &poison_; }
+  PoisonParts* poison_parts() { return &poison_parts_; }
   EndpointEnds* ends() { return &ends_; }
   ServiceDemand* demand() { return &demand_; }
   RequestForwarder* forwarder() { return &forwarder_; }
@@ -164,8 +166,9 @@
   void OnNewLife(const std::string& endpoint);
   void OnEndpointEnd(const EndpointEnd& end);
   PoisonVerdict JudgeRequest(const RequestDigest& digest,
+                             const PartDigests& parts,
                              const std::string& service, TimePoint now) const;
-  void TellPoison();
+  void TellPoisonParts();
   void SetRolloutGauges(const RolloutRecord& rollout);
   void SetSpeedGauges();
   // Counts a request that has ended. `status` is the HTTP status that the
@@ -212,6 +215,7 @@
   EndpointEnds ends_;
   ServiceDemand demand_;
   PoisonRequests poison_;
+  PoisonParts poison_parts_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
   std::set<std::shared_ptr<RelayedRequest>> open_;
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -125,7 +125,9 @@
 bool RelayedRequest::MaySendOn() {
   using Kind = PoisonVerdict::Kind;
   TimePoint now = Clock::now();
-  PoisonVerdict verdict = relay_->JudgeRequest(digest_, service_, now);
+  PoisonVerdict verdict = relay_->JudgeRequest(digest_, parts_, service_, now);
+  if (verdict.may_claim_trial)
+    relay_->poison_parts_.ClaimTrial(verdict.parts, now);
   if (verdict.kind == Kind::kQuarantine) {
     AnswerHeld(verdict);
     return false;
@@ -134,6 +136,7 @@
   if (verdict.kind == Kind::kTrial) {
     is_trial_ = true;
     relay_->poison_.RecordTrial(digest_, now);
+    relay_->poison_parts_.RecordTrial(verdict.parts, now);
     TellTrial(verdict);
   }
   return true;
--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -25,7 +25,7 @@
 // Nothing: it has not run.
 std::optional<RunOutcome> RunEndOf(AttemptOutcome outcome) {
   if (outcome == AttemptOutcome::kBroken) return RunOutcome::kDisconnected;
-  if (outcome == AttemptOutcome::kFailed) return RunOutcome::kComplete;
+  if (outcome == AttemptOutcome::kFailed) return RunOutcome::kFailed;
   return std::nullopt;
 }
 
@@ -212,7 +212,8 @@
   if (answer.succeeded() && !answer.signed_whole) {
     return EndTry(AttemptOutcome::kBroken);
   }
-  ReleaseEndpoint(true, RunOutcome::kComplete);
+  ReleaseEndpoint(
+      true, answer.succeeded() ? RunOutcome::kComplete : RunOutcome::kFailed);
   TimePoint now = Clock::now();
   if (try_->had_free_place)
     relay_->room_.RecordResponse(service_, now - try_->sent_at, now);
--- a/daemon/testing/poison_exchange_test.cc
+++ b/daemon/testing/poison_exchange_test.cc
@@ -60,12 +60,13 @@
       : store(loop, delay),
         log(loop, &store, self, 1, &metrics),
         poison(self.name),
+        parts(self.name),
         slow_start(self.name),
         directory(&pool, &slow_start),
         rollouts(RolloutOptions{}),
         connections(loop, {}),
         ends(loop, &directory, &rollouts, &connections),
-        exchange(loop, &log, &poison, &ends, self.name, kTopic),
+        exchange(loop, &log, {&poison, &parts, &ends}, self.name, kTopic),
         server(loop) {
     server.Share(kTopic, exchange.cache());
   }
@@ -74,6 +75,7 @@
   Metrics metrics;
   SharedLog log;
   PoisonRequests poison;
+  PoisonParts parts;
   EndpointPool pool;
   SlowStart slow_start;
   EndpointDirectory directory;
--- a/leverwick/poison_requests.cc
+++ b/leverwick/poison_requests.cc
@@ -11,7 +11,7 @@
 #include <functional>
 #include <utility>
 
-#include "leverwick/digest.h"
+#include "leverwick/poison_trials.h"
 
 namespace leverwick {
 namespace {
@@ -30,20 +30,6 @@
 constexpr size_t kMaxLastSeen = 256;
 // The number of endpoints kept per request whose crashes are cleared.
 constexpr size_t kMaxClearedEndpoints = 16;
-// Time until the next trial, after the last crash or trial. The first trial is
-// early, to release requests that were quarantined by mistake. Each failed
-// trial makes a mistake less likely, and a trial may cost everything that runs
-// on an endpoint.
-constexpr std::chrono::seconds kTrialIntervals[] = {
-    std::chrono::seconds(10), std::chrono::minutes(1), std::chrono::minutes(10),
-    std::chrono::hours(1)};
-// The trial times of the boxes are staggered over this time, so that the report
-// of the first trial reaches most other boxes before they send one.
-constexpr std::chrono::seconds kTrialStagger{4};
-// The time until a trial when no version that the request crashed is listed any
-// more. It allows for differences between the lists of the boxes.
-constexpr std::chrono::seconds kNewVersionTrialDelay{2};
-
 uint32_t AgeMs(TimePoint at, TimePoint now) {
   auto age = std::chrono::duration_cast<milliseconds>(now - at).count();
   return static_cast<uint32_t>(std::clamp<int64_t>(age, 0, UINT32_MAX));
@@ -193,15 +179,8 @@
   auto trials = static_cast<size_t>(std::count_if(
       request.trials.begin(), request.trials.end(),
       [first_crash](const Trial& t) { return t.at > first_crash; }));
-  size_t last_interval = std::size(kTrialIntervals) - 1;
-  std::chrono::seconds interval =
-      kTrialIntervals[std::min(trials, last_interval)];
-  // A version that the request has not crashed gets one early trial.
-  if (!crashed_version_listed && trials < last_interval)
-    interval = kNewVersionTrialDelay;
-  double stagger = UnitHash(box_ + "/" + digest.bytes());
-  return request.last_event_at + interval +
-         FromSeconds(ToSeconds(kTrialStagger) * stagger);
+  return NextTrialTime({box_ + "/" + digest.bytes(), trials,
+                        request.last_event_at, crashed_version_listed});
 }
 
 PoisonVerdict PoisonRequests::Evaluate(
@@ -247,7 +226,7 @@
 
 void PoisonRequests::RecordTrial(const RequestDigest& request, TimePoint now) {
   auto found = requests_.find(request);
-  if (found == requests_.end()) return;
+  if (found == requests_.end() || !found->second.quarantined) return;
   AddTrial(&found->second, now, true);
   has_unreported_changes_ = true;
 }
--- a/leverwick/poison_requests.h
+++ b/leverwick/poison_requests.h
@@ -46,6 +46,7 @@
 #include <vector>
 
 #include "leverwick/healthy_requests.h"
+#include "leverwick/poison_verdict.h"
 #include "leverwick/recent_runs.h"
 #include "leverwick/request_digest.h"
 #include "leverwick/time.h"
@@ -53,20 +54,6 @@
 
 namespace leverwick {
 
-struct PoisonVerdict {
-  enum class Kind {
-    kSend,         // to any endpoint
-    kAvoidTarget,  // to any endpoint but those of a roll-out's target version
-    kTrial,        // to one endpoint, once; the caller must call RecordTrial
-    kQuarantine,   // to no endpoint
-  };
-  Kind kind = Kind::kSend;
-  size_t crashes = 0;  // those that count against the request
-  // Time until this box may send a trial; set if the request is quarantined and
-  // the box is connected to its peers.
-  std::optional<milliseconds> time_until_trial;
-};
-
 // Reports that a request was quarantined or released.
 struct QuarantineChange {
   RequestDigest request;
--- a/leverwick/recent_runs.cc
+++ b/leverwick/recent_runs.cc
@@ -92,7 +92,9 @@
     std::optional<bool> is_alive_now;  // empty: not yet queried
     for (auto entry = runs.begin(); entry != runs.end();) {
       EndpointRun& run = entry->second;
-      bool is_due = run.ended_at && run.outcome == RunOutcome::kComplete &&
+      bool has_response = run.outcome == RunOutcome::kComplete ||
+                          run.outcome == RunOutcome::kFailed;
+      bool is_due = run.ended_at && has_response &&
                     now - *run.ended_at >= kMinSurvivalTime;
       if (is_due && !is_alive_now) is_alive_now = is_alive(endpoint->first);
       bool has_survived = is_due && *is_alive_now;
--- a/leverwick/recent_runs.h
+++ b/leverwick/recent_runs.h
@@ -35,6 +35,7 @@
 
 enum class RunOutcome {
   kComplete,      // the complete response was received
+  kFailed,        // a complete response that reports a failure
   kAbandoned,     // this box or its caller cancelled the run
   kDisconnected,  // the connection closed before the response was complete
 };
--- a/leverwick/request_digest.cc
+++ b/leverwick/request_digest.cc
@@ -13,6 +13,8 @@
 
 }  // namespace
 
+uint64_t RequestDigest::hash() const { return StableHash(bytes_); }
+
 uint32_t RequestDigest::organisation_hash() const {
   uint32_t organisation_hash = 0;
   for (unsigned char byte : bytes_.substr(0, kOrganisationHashBytes)) {
--- a/leverwick/request_digest.h
+++ b/leverwick/request_digest.h
@@ -36,6 +36,8 @@
 
   const std::string& bytes() const { return bytes_; }
   bool empty() const { return bytes_.empty(); }
+  // Returns a hash of the whole digest.
+  uint64_t hash() const;
   // Returns a hash of the organisation's name.
   uint32_t organisation_hash() const;
   // Returns eight hex characters that name the request in log lines.
