Answers without a length: a stream without an event is no whole one

Callers would see: an endpoint that ends right after the head of a stream without length or chunks closes its connection, which looked like a whole stream without events; a caller got an empty 200. The box did not ask whether the endpoint had ended, either: a plain answer of this kind is whole to it.

--- a/daemon/endpoint_ends.cc
+++ b/daemon/endpoint_ends.cc
@@ -23,6 +23,8 @@
 // Endpoints that are asked for a connection before an end counts. More than one
 // may end at the same time.
 constexpr size_t kNeighbours = 3;
+// Endpoints of which the last accepted connection is kept.
+constexpr size_t kMostAccepted = 1000;
 // Requests that one line names.
 constexpr size_t kMostNamed = 8;
 
@@ -98,8 +100,11 @@
 std::vector<EndpointRun> EndpointEnds::TakeSurvived(TimePoint now) {
   auto is_alive = [this, now](const std::string& endpoint) {
     // A call that was sent just now may find nobody there.
+    TimePoint since = now - RecentRuns::kMinSurvivalTime;
+    auto accepted = accepted_.find(endpoint);
+    bool has_accepted = accepted != accepted_.end() && accepted->second > since;
     return suspected_.count(endpoint) == 0 &&
-           IsAlive(endpoint, now - RecentRuns::kMinSurvivalTime);
+           (has_accepted || IsAlive(endpoint, since));
   };
   return runs_.TakeSurvivedRuns(is_alive, now);
 }
@@ -110,6 +115,36 @@
   LookSoon(endpoint, now, kLooks);
 }
 
+void EndpointEnds::EndedWithConnection(const std::string& endpoint,
+                                       TimePoint now) {
+  if (!IsUnplanned(endpoint) || !checked_.insert(endpoint).second) return;
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      *loop_, RecentRuns::kMinSurvivalTime);
+  timer->async_wait([this, timer, endpoint, now](auto error) {
+    if (!error) CheckAlive(endpoint, now);
+  });
+}
+
+void EndpointEnds::CheckAlive(const std::string& endpoint, TimePoint ended_at) {
+  checked_.erase(endpoint);
+  bool is_known = !IsUnplanned(endpoint) || suspected_.count(endpoint) > 0 ||
+                  IsAlive(endpoint, ended_at);
+  if (is_known) return;
+  auto probed = [this, endpoint, ended_at](std::error_code error, auto tcp) {
+    if (!error) {
+      tcp->Close();
+      if (accepted_.size() > kMostAccepted) accepted_.clear();
+      accepted_[endpoint] = Clock::now();
+      return;
+    }
+    if (error != std::errc::connection_refused) return;
+    TellIfPathIsOpen(endpoint, ended_at,
+                     runs_.TakeCrashSuspects(endpoint, ended_at));
+  };
+  connections_->Connect(directory_->Find(endpoint)->address, kProbeTime,
+                        probed);
+}
+
 void EndpointEnds::LookSoon(const std::string& endpoint, TimePoint broke_at,
                             int looks) {
   auto timer =
--- a/daemon/endpoint_ends.h
+++ b/daemon/endpoint_ends.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
 
   // The endpoint ended a call's connection; the call's run has ended.
   void Broke(const std::string& endpoint, TimePoint now);
+  // A whole answer ended with its connection, as one without a length does.
+  // That is how connections of an ended endpoint look, too.
+  void EndedWithConnection(const std::string& endpoint, TimePoint now);
   // The endpoint's address takes no connection; the call has ended.
   void Refused(const std::string& endpoint, TimePoint now);
   // Runs whose whole answers came and whose endpoints live on.
@@ -80,6 +84,8 @@
   void Look(const std::string& endpoint, TimePoint broke_at, int looks);
   // Asks for a connection.
   void Probe(const std::string& endpoint, TimePoint broke_at);
+  // Asks for a connection if nothing else shows whether the endpoint lives on.
+  void CheckAlive(const std::string& endpoint, TimePoint ended_at);
   // Calls back once whether a neighbour of the endpoint accepts a connection;
   // true if it has none.
   void CheckPath(const std::string& endpoint,
@@ -96,6 +102,9 @@
   HttpConnections* const connections_;
   RecentRuns runs_;
   std::map<std::string, TimePoint> suspected_;  // when a connection broke
+  std::set<std::string> checked_;               // for which CheckAlive is due
+  // When an endpoint last accepted a connection of CheckAlive.
+  std::map<std::string, TimePoint> accepted_;
   std::mt19937 random_;
   Callback on_ended_ = [](const EndpointEnd&) {};
 };
--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -176,7 +176,12 @@
   auto self = shared_from_this();
   if (try_->weak) return;  // AskLargerModel is on its way
   if (!try_->streams) return OnWholeAnswer();
-  if (events_.has_partial_event()) {
+  // Without an event, a stream that ends with its connection has most likely
+  // not begun; one that is resumed may have had its last event before.
+  bool has_begun = events_.event_count() > 0 || !LastEventId().empty();
+  bool is_cut =
+      events_.has_partial_event() || (!try_->head.has_length && !has_begun);
+  if (is_cut) {
     relay_->watch_.StreamBroke(Watched(), Clock::now());
     return EndTry(AttemptOutcome::kBroken);
   }
@@ -203,6 +208,8 @@
   }
   bool own_failure = answer.status >= 500 || PromisesNotRun(answer.status);
   if (own_failure) {
+  if (!try_->head.has_length)
+    relay_->ends_.EndedWithConnection(try_->endpoint, Clock::now());
     relay_->watch_.Answered(Watched(), true, Clock::now() - try_->sent_at);
     failed_on_target_ = try_->version == relay_->rollouts_.TargetFor(service_);
     failure_.reset();
