Answers without an end: the largest one is broken off beyond 8 MB in all

Callers would see: a box that holds answers of unknown length until they are whole took up to 64 MB of each; fifty at once are a hundred times the memory of a small box.

Change: leverwick/held_answers counts the bytes of answers without a Content-Length and of events that are not complete, over all requests of the box; beyond 8 MB the largest is broken off, its endpoint named in a line.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -185,6 +185,15 @@
   }
 }
 
+void Relay::DropLargestAnswer() {
+  std::optional<uint64_t> run = held_answers_.AnswerToDrop();
+  if (!run) return;
+  held_answers_.Remove(*run);
+  for (const auto& request : open_) {
+    if (request->DropAnswer(*run)) return;
+  }
+}
+
 bool Relay::SetConfig(ServiceConfig config) {
   if (config_ != nullptr && config.version() <= config_->version()) {
     return false;
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -33,6 +33,7 @@
 #include "leverwick/endpoint_selector.h"
 #include "leverwick/engine_loads.h"
 #include "leverwick/escalation_policy.h"
+#include "leverwick/held_answers.h"
 #include "leverwick/key_validity.h"
 #include "leverwick/model_cascade.h"
 #include "leverwick/place_claim.h"
@@ -169,6 +170,10 @@
                              const PartDigests& parts,
                              const std::string& service, TimePoint now) const;
   void TellPoisonParts();
+  // Breaks off the largest answer of unknown length if there are too many bytes
+  // of such answers.
+  void DropLargestAnswer();
+  void TellPoison();
   void SetRolloutGauges(const RolloutRecord& rollout);
   void SetSpeedGauges();
   // Counts a request that has ended. `status` is the HTTP status that the
@@ -216,6 +221,7 @@
   ServiceDemand demand_;
   PoisonRequests poison_;
   PoisonParts poison_parts_;
+  HeldAnswers held_answers_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
   std::set<std::shared_ptr<RelayedRequest>> open_;
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -63,6 +63,8 @@
                  ApiKeyOwner holder, ForwardOrigin origin);
 
   void Start();
+  // Breaks off the answer of this run; false if it is not this request's.
+  bool DropAnswer(uint64_t run);
 
  private:
   // Sending.
@@ -150,6 +152,8 @@
   void NotePace(std::optional<Seconds> interval, TimePoint now);
   void AskLargerModel();
   void OnWholeAnswer();
+  // Records how many bytes of an answer of unknown length are held.
+  void NoteHeldBytes(size_t bytes);
   // Records a broken connection, which may mean that the endpoint has ended.
   void NoteBreak(const std::string& endpoint,
                  const ClientCall::Failure& failure, TimePoint broke_at);
@@ -209,6 +213,7 @@
   void TellTrial(const PoisonVerdict& verdict);
   void TellSurplus(const AnswerHead& answer);
   void TellBroken(const ClientCall::Failure& failure);
+  void TellDropped();
   // Logs an attempt without a response to pass on, and the next step.
   void TellTryEnd(AttemptOutcome outcome, NextStep step);
   void TellForward();
--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -15,6 +15,9 @@
 // A caller that reads slower than its endpoint writes stops the reading.
 constexpr size_t kMostPending = 256UL * 1024;
 
+// Bytes of an event that is not complete yet. Usual events have some hundred.
+constexpr size_t kLargeEvent = 64UL * 1024;
+
 // Whether the endpoint ended the connection, not the way to it.
 bool IsEndpointsOwn(const ClientCall::Failure& failure) {
   return failure.sent &&
@@ -135,11 +138,36 @@
   if (try_->weak) return;
   if (try_->streams) return PassEvents(try_->head, bytes);
   try_->body.append(bytes);
+  bool has_known_length = try_->head.has_length && !try_->head.chunked;
+  if (!has_known_length) NoteHeldBytes(try_->body.size());
+}
+
+void RelayedRequest::NoteHeldBytes(size_t bytes) {
+  relay_->held_answers_.Record(try_->run, bytes);
+  relay_->DropLargestAnswer();
+}
+
+// Not from inside the reader of the answer that is dropped.
+bool RelayedRequest::DropAnswer(uint64_t run) {
+  bool is_own = try_ && try_->call && try_->run == run;
+  if (!is_own) return false;
+  boost::asio::post(*relay_->loop_, [self = shared_from_this(), run] {
+    bool is_over = self->finished_ || !self->try_ || !self->try_->call ||
+                   self->try_->run != run;
+    if (is_over) return;
+    self->TellDropped();
+    self->try_->call->Abort();
+    self->EndTry(AttemptOutcome::kBroken);
+  });
+  return true;
 }
 
 void RelayedRequest::PassEvents(const HttpHead& head, std::string_view bytes) {
   size_t events_before = events_.event_count();
   std::string whole = events_.Append(bytes);
+  bool is_large = events_.partial_event_bytes() > kLargeEvent;
+  if (is_large && try_ && try_->call && !forward_)
+    NoteHeldBytes(events_.partial_event_bytes());
   if (whole.empty()) return;
   if (try_ && try_->call && !forward_) {
     TimePoint now = Clock::now();
@@ -175,6 +203,8 @@
 void RelayedRequest::OnAnswerEnd() {
   auto self = shared_from_this();
   if (try_->weak) return;  // AskLargerModel is on its way
+  if (!try_->head.has_length)
+    relay_->ends_.EndedWithConnection(try_->endpoint, Clock::now());
   if (!try_->streams) return OnWholeAnswer();
   // Without an event, a stream that ends with its connection has most likely
   // not begun; one that is resumed may have had its last event before.
@@ -208,8 +238,6 @@
   }
   bool own_failure = answer.status >= 500 || PromisesNotRun(answer.status);
   if (own_failure) {
-  if (!try_->head.has_length)
-    relay_->ends_.EndedWithConnection(try_->endpoint, Clock::now());
     relay_->watch_.Answered(Watched(), true, Clock::now() - try_->sent_at);
     failed_on_target_ = try_->version == relay_->rollouts_.TargetFor(service_);
     failure_.reset();
@@ -309,6 +337,7 @@
   relay_->demand_.RecordEnd(service_, Clock::now());
   relay_->brittle_.RecordEnd(try_->endpoint);
   relay_->loads_.RecordFinish(try_->ticket);
+  relay_->held_answers_.Remove(try_->run);
   ReleasePlace();
   RecentRuns* runs = relay_->ends_.runs();
   if (how) {
--- a/daemon/relayed_request_log.cc
+++ b/daemon/relayed_request_log.cc
@@ -154,6 +154,15 @@
                                     {"error", failure.error.message()}});
 }
 
+void RelayedRequest::TellDropped() {
+  relay_->metrics_.Add("leverwick_dropped_answers_total", "", 1);
+  kLog.Warning("An answer without an end in sight is broken off.",
+               {{"request", request_.id},
+                {"endpoint", try_->endpoint},
+                {"bytes", std::to_string(try_->body.size() +
+                                         events_.partial_event_bytes())}});
+}
+
 void RelayedRequest::TellTryEnd(AttemptOutcome outcome, NextStep step) {
   auto retries_left = static_cast<int>(relay_->BudgetOf(service_)->available());
   relay_->metrics_.Add("leverwick_tries_ended_total",
