HTTP server: connections at rest make room for new ones without descriptors

Callers would see: while the platform hands most new connections of a data centre to one box, each is kept for 15 s after its request. Without descriptors left the box accepted none until one of them ended, while it said that it is ready.

Change: when a connection can't be accepted for want of descriptors, those that have rested longest, a second or more, are closed, 64 at a time.

Test: a hundred connections at rest and no descriptor left: ten new callers are served within a second. On the code before they wait for the rest's 15 s (by reading; not run there).

--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <vector>
 
 namespace leverwick {
 namespace {
@@ -17,6 +18,10 @@
 // How long accepting rests when descriptors have run out.
 constexpr milliseconds kAcceptPause{50};
 constexpr int kBacklog = 1024;
+// Without descriptors, connections that have rested for this time make room for
+// new ones, so many at a time.
+constexpr milliseconds kLeastRest{1000};
+constexpr size_t kRoomBatch = 64;
 // While the box stops, a connection at rest is kept for a request that is on
 // its way: more than a round trip to a caller.
 constexpr milliseconds kRestWhileDraining{300};
@@ -71,9 +76,13 @@
   }
 
   void Drain() {
-    if (exchange_ == nullptr && !reader_.any_read()) Rest();
+    if (IsAtRest()) Rest();
   }
 
+  bool IsAtRest() const { return exchange_ == nullptr && !reader_.any_read(); }
+  TimePoint rests_since() const { return rests_since_; }
+  void CloseAtRest() { Drop(); }
+
  private:
   static HttpReader::Limits ReaderLimits(const HttpServerLimits& limits) {
     HttpReader::Limits reader;
@@ -83,6 +92,7 @@
   }
 
   void Rest() {
+    rests_since_ = Clock::now();
     milliseconds rest = server_->limits_.idle_time;
     if (server_->draining_) rest = std::min(rest, kRestWhileDraining);
     SetTimer(rest);
@@ -205,6 +215,7 @@
   HttpHead head_;
   std::string body_;
   std::string held_;
+  TimePoint rests_since_{};
   std::shared_ptr<ServerExchange> exchange_;
   bool close_after_ = false;
   bool old_caller_ = false;
@@ -282,6 +293,8 @@
   acceptor_.async_accept([this](auto error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     if (error) {
+      bool is_full = error == boost::asio::error::no_descriptors;
+      if (is_full && MakeRoom()) return Accept();
       accept_pause_.expires_after(kAcceptPause);
       accept_pause_.async_wait([this](auto cancelled) {
         if (!cancelled) Accept();
@@ -297,6 +310,24 @@
   });
 }
 
+bool AsyncHttpServer::MakeRoom() {
+  TimePoint rested_since = Clock::now() - kLeastRest;
+  std::vector<std::shared_ptr<ServerConnection>> at_rest;
+  for (const auto& connection : connections_) {
+    bool has_rested =
+        connection->IsAtRest() && connection->rests_since() <= rested_since;
+    if (has_rested) at_rest.push_back(connection);
+  }
+  size_t closing = std::min(kRoomBatch, at_rest.size());
+  std::partial_sort(at_rest.begin(),
+                    at_rest.begin() + static_cast<ptrdiff_t>(closing),
+                    at_rest.end(), [](const auto& a, const auto& b) {
+                      return a->rests_since() < b->rests_since();
+                    });
+  for (size_t i = 0; i < closing; ++i) at_rest[i]->CloseAtRest();
+  return closing > 0;
+}
+
 void AsyncHttpServer::Drain() {
   draining_ = true;
   auto connections = connections_;
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -121,6 +121,8 @@
   friend class ServerConnection;
 
   void Accept();
+  // Closes connections that have been at rest longest; false if there are none.
+  bool MakeRoom();
 
   boost::asio::io_context* const loop_;
   const Handler handler_;
--- a/net/testing/own_limits_test.cc
+++ b/net/testing/own_limits_test.cc
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <fstream>
@@ -122,6 +123,38 @@
   CHECK(RunUntil(&loop, [&] { return server.http.connections() <= 2; }));
 }
 
+TEST_CASE("without descriptors connections at rest make room for new ones") {
+  io_context loop;
+  Server server(&loop);
+  constexpr int kConnections = 100;
+  std::list<tcp::socket> sockets;
+  for (int i = 0; i < kConnections; ++i) {
+    sockets.emplace_back(loop);
+    boost::system::error_code error;
+    sockets.back().connect(server.endpoint, error);
+  }
+  REQUIRE(RunUntil(&loop, [&] {
+    return server.http.connections() == static_cast<size_t>(kConnections);
+  }));
+  RunUntil(
+      &loop, [] { return false; }, milliseconds(1100));
+  // The caller's own descriptors, and none for the server.
+  constexpr int kCallers = 10;
+  HttpConnections callers(&loop, {});
+  std::list<CollectedAnswer> answers;
+  FileLimit limit(OpenDescriptors() + kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    answers.emplace_back();
+    callers.Send(server.address(), kRequest, &answers.back());
+  }
+  auto all_served = [&] {
+    return std::all_of(answers.begin(), answers.end(),
+                       [](const auto& answer) { return answer.whole; });
+  };
+  // A caller's new connection is given up after a second.
+  CHECK(RunUntil(&loop, all_served, milliseconds(1000)));
+}
+
 TEST_CASE("connections that come while the server is busy are all served") {
   io_context loop;
   Server server(&loop);
