--- a/leverwick/testing/poison_parts_test.cc
+++ b/leverwick/testing/poison_parts_test.cc
@@ -314,10 +314,11 @@
   PoisonParts parts("a");
   Crash(&parts, "e", 1000, {{"x", {"once"}}});
   CrashFour(&parts, {"p"});
-  parts.Expire(At(11 * 60 * 1000));
+  const int64_t minute_ms = 60000;
+  parts.Expire(At(11 * minute_ms));
   CHECK(parts.size() == 1);
-  CHECK(KindAt(parts, {"p"}, 11 * 60 * 1000) == Kind::kQuarantine);
-  parts.Expire(At(3 * 60 * 60 * 1000));
+  CHECK(KindAt(parts, {"p"}, 11 * minute_ms) == Kind::kQuarantine);
+  parts.Expire(At(180 * minute_ms));
   CHECK(parts.size() == 0);
   CHECK(parts.quarantined_count() == 0);
 }
