--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -248,10 +248,11 @@
         self.beats = True
         self.cold_until = 0.0
         self.arrivals = []  # times
+        self.writers = set()
 
     async def start(self, cold_s=0.0):
-        server = await asyncio.start_server(self.serve, HOST, 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
         self.turn_cold(cold_s)
         asyncio.ensure_future(self.keep_beating())
 
@@ -293,7 +294,15 @@
                 self.record.note("the entry of %s is back" % self.name)
             await asyncio.sleep(RETRY_S)
 
+    # Its process ends: all connections are reset, and its entry lapses.
+    def fall_over(self):
+        self.beats = False
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -311,6 +320,7 @@
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        self.writers.discard(writer)
         writer.close()
 
     def fields(self, request):
