Review: requests with a home region are forwarded to other regions

Cause: the choice of the machine that a request is forwarded to does not look at the request's home regions.

--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -37,6 +37,7 @@
     "bounds.expose_share": "0.15",
     "bounds.grace_s": "8",
     "zone": "hall-a",
+    "zones": ", ".join('"hall-%s=punjab-north"' % hall for hall in "abc"),
 }
 
 
@@ -249,6 +250,7 @@
         self.cold_until = 0.0
         self.arrivals = []  # times
         self.writers = set()
+        self.on_request = None  # called with the id and the connection
 
     async def start(self, cold_s=0.0):
         self.server = await asyncio.start_server(self.serve, HOST, 0)
@@ -315,6 +317,8 @@
                 request_id = request.field("Leverwick-Request-Id")
                 self.runs[request_id] = self.runs.get(request_id, 0) + 1
                 self.arrivals.append(time.monotonic())
+                if self.on_request:
+                    self.on_request(request_id, writer)
                 self.record.note("replica %s runs %s" % (self.name, request_id))
                 await self.respond(request, writer)
                 await writer.drain()
@@ -338,7 +342,7 @@
     """The platform's filling of deploy/box.yaml.template."""
     with open(os.path.join(ROOT, "deploy", "box.yaml.template")) as file:
         text = file.read()
-    text = text.replace('{{#zones}}"{{@}}={{.}}"{{,}}{{/zones}}', '"hall-a=punjab-north"')
+    text = text.replace('{{#zones}}"{{@}}={{.}}"{{,}}{{/zones}}', fields["zones"])
     block = re.compile(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", re.S)
     while block.search(text):
         text = block.sub(lambda m: m.group(2) if fields.get(m.group(1)) else "", text)
@@ -410,6 +414,24 @@
             await asyncio.sleep(0.1)
         return False
 
+    def owns_port(self, port):
+        """Whether the process has a connection with this port of its own. A
+        server sees a machine by its address; here all share one address."""
+        inodes = set()
+        with open("/proc/net/tcp") as file:
+            for line in file.readlines()[1:]:
+                fields = line.split()
+                if int(fields[1].split(":")[1], 16) == port:
+                    inodes.add("socket:[%s]" % fields[9])
+        folder = "/proc/%d/fd" % self.process.pid
+        for name in os.listdir(folder):
+            try:
+                if os.readlink(os.path.join(folder, name)) in inodes:
+                    return True
+            except OSError:
+                continue  # closed meanwhile
+        return False
+
     async def end(self):
         if self.process is None or self.process.returncode is not None:
             return
