Review: a machine in touch sends to a replica that has left

Cause: a machine whose source is stale waits some seconds before it reads the store itself, and takes that for an outage of the store.

--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -230,6 +230,47 @@
         return answer(200, "OK", [], body)
 
 
+class Link:
+    """A proxy between a machine and the store."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+        self.writers = set()
+
+    async def start(self):
+        server = await asyncio.start_server(self.accept, HOST, 0)
+        self.address = "%s:%d" % (HOST, server.sockets[0].getsockname()[1])
+
+    def reset(self):
+        for writer in self.writers:
+            writer.transport.abort()
+
+    def cut(self, is_cut):
+        self.is_cut = is_cut
+        if is_cut:
+            self.reset()
+
+    async def accept(self, reader, writer):
+        if self.is_cut:
+            writer.transport.abort()
+            return
+        store_reader, store_writer = await asyncio.open_connection(HOST, self.store.port)
+        self.writers |= {writer, store_writer}
+        await asyncio.gather(self.copy(reader, store_writer),
+                             self.copy(store_reader, writer))
+        self.writers -= {writer, store_writer}
+
+    async def copy(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+
 # Replicas.
 
 
