--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -129,10 +129,12 @@
 class Topic:
     def __init__(self):
         self.records = []  # (key, value or None); the offset is the index
+        self.times = []  # when each record was added
         self.grown = asyncio.Event()
 
     def add(self, key, value):
         self.records.append((key, value))
+        self.times.append(time.monotonic())
         self.grown.set()
         self.grown = asyncio.Event()
 
@@ -151,6 +153,8 @@
         self.topics = {}
         self.port = None
         self.serves = True  # False: every call is answered by a reset
+        self.era = 1
+        self.writers = set()
 
     async def start(self):
         server = await asyncio.start_server(self.serve, HOST, 0)
@@ -160,6 +164,19 @@
     def address(self):
         return "%s:%d" % (HOST, self.port)
 
+    def go_away(self):
+        self.serves = False
+        for writer in self.writers:
+            writer.transport.abort()
+
+    def come_back(self, copied_at):
+        """From a copy that was made at this time (letter 7)."""
+        for topic in self.topics.values():
+            kept = sum(1 for at in topic.times if at <= copied_at)
+            del topic.records[kept:], topic.times[kept:]
+        self.era += 1
+        self.serves = True
+
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
 
@@ -168,6 +185,7 @@
         self.topic(topic).add(key.encode(), text)
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -177,10 +195,12 @@
                 if reply is None or not self.serves:
                     writer.transport.abort()
                     break
-                writer.write(reply)
+                era = b"\r\nStore-Era: %d\r\n" % self.era
+                writer.write(reply.replace(b"\r\n", era, 1))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        self.writers.discard(writer)
         writer.close()
 
     async def handle(self, request):
@@ -216,6 +236,8 @@
 
     async def read(self, topic, query):
         source = int(query["source"])
+        if source > len(topic.records):
+            return answer(410, "Gone", [], json.dumps({"first": 0}).encode())
         wait = int(query.get("wait_ms", 0)) / 1000
         until = time.monotonic() + wait
         while len(topic.records) <= source and time.monotonic() < until:
