--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -188,4 +188,13 @@
                 {"store_after_ms", MillisecondsText(start.store_after)}});
 }
 
+void SharedLog::RecordStoreFailure(const StoreFailure& failure) {
+  metrics_->Add("leverwick_store_failures_total",
+                "topic=\"" + failure.topic + "\"", 1);
+  kLog.Info("The store did not serve a read; searches pause their attempts.",
+            {{"topic", failure.topic},
+             {"why", failure.error.message()},
+             {"pause_ms", MillisecondsText(failure.pause)}});
+}
+
 }  // namespace leverwick
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -82,6 +82,7 @@
   double Draw() override;
   void RecordOutcome(const ReadOutcome& outcome) override;
   void RecordSearch(const SearchStart& start) override;
+  void RecordStoreFailure(const StoreFailure& failure) override;
 
   // What the box answered; an error when it can't be used.
   std::error_code Decode(const LogQuery& query, TimePoint asked_at,
--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -188,10 +188,11 @@
     return callback(Result::kUnreachable, {});
   }
   store_->Read(query, [this, alive = std::weak_ptr<int>(alive_),
+                       topic = query.topic,
                        callback = std::move(callback)](std::error_code error,
                                                        LogPage page) {
     if (alive.expired()) return;
-    if (IsRetryable(error)) RecordStoreFailure(error);
+    if (IsRetryable(error)) RecordStoreFailure(topic, error);
     callback(error, std::move(page));
   });
 }
@@ -293,15 +294,14 @@
 
 void LogReader::ReadStore(const Call& call, bool hold, CallCallback callback) {
   auto answered = [this, alive = std::weak_ptr<int>(alive_),
-                   topic = TopicOf(call.query.topic),
-                   callback = std::move(callback)](
+                   topic = call.query.topic, callback = std::move(callback)](
                       std::error_code error, LogPage page, bool has_more) {
     if (alive.expired()) return;
     if (IsRetryable(error)) {
-      RecordStoreFailure(error);
+      RecordStoreFailure(topic, error);
     } else {
       attempts_.RecordSuccess();
-      topic->relay.reset();
+      TopicOf(topic)->relay.reset();
     }
     callback(error, std::move(page), has_more);
   };
@@ -322,7 +322,8 @@
   });
 }
 
-void LogReader::RecordStoreFailure(std::error_code error) {
+void LogReader::RecordStoreFailure(const std::string& topic,
+                                   std::error_code error) {
   TimePoint now = transport_->Now();
   // The attempts of a box that is cut off are no calls of the store's, and the
   // end of the cut is to be noticed at once.
@@ -331,6 +332,7 @@
     return;
   }
   attempts_.RecordFailure(peers_.size() + 1, transport_->Draw(), now);
+  transport_->RecordStoreFailure({topic, error, attempts_.next_at() - now});
 }
 
 void LogReader::RecordReply() {
--- a/leverwick/log_reader.h
+++ b/leverwick/log_reader.h
@@ -66,6 +66,13 @@
   nanoseconds store_after{0};  // until this box's attempt at the store
 };
 
+// A read that the store did not serve.
+struct StoreFailure {
+  std::string topic;
+  std::error_code error;
+  nanoseconds pause{0};  // until this box's next attempt in a search
+};
+
 // What LogReader needs from the process that it runs in.
 class LogTransport {
  public:
@@ -80,6 +87,7 @@
 
   virtual void RecordOutcome(const ReadOutcome& outcome) = 0;
   virtual void RecordSearch(const SearchStart& start) = 0;
+  virtual void RecordStoreFailure(const StoreFailure& failure) = 0;
 
  protected:
   ~LogTransport() = default;
@@ -193,7 +201,7 @@
 
   // Sends the call to the store, where it may be held or not.
   void ReadStore(const Call& call, bool hold, CallCallback callback);
-  void RecordStoreFailure(std::error_code error);
+  void RecordStoreFailure(const std::string& topic, std::error_code error);
   void RecordReply();
   void RecordResult(const std::string& topic, const LogBox& box,
                     std::error_code error);
--- a/leverwick/testing/log_reader_simulation.h
+++ b/leverwick/testing/log_reader_simulation.h
@@ -197,6 +197,7 @@
     double Draw() override { return simulation->Draw(); }
     void RecordOutcome(const ReadOutcome&) override {}
     void RecordSearch(const SearchStart&) override {}
+    void RecordStoreFailure(const StoreFailure&) override {}
 
     void Begin() {
       as_of = simulation->now_;
