Store client: repeat a read whose kept connection failed, on a new one

Two boxes of a data centre had lost the store; the connections of the third one to it were reset once. Cause: the reset counted as a store that does not serve the box, so that it paused its own attempts for 1.5 to 3 s and relayed nothing for 1.5 s, though a new connection would have been served at once. Trace of the case on the code before: searches logged store_after_ms=777 to 2365 right after the reset; the list was read then, and the entry was kept for 2.1 s more, as one that vanished in an outage. Answers of the other boxes were recognised as too old throughout.

A read on a connection that had served calls before tells nothing of the store when that connection is closed or stays silent: HttpCall reports connection_lost (5009), closes what rests to that address, and the store client sends the read again at once. Reads of other boxes are repeated in the same way within their time. A call on a new connection fails as before, so that an outage costs at most one more call for each connection that was open when it began.

--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -107,6 +107,10 @@
         ReadPeer(box, read, callback);
       });
     }
+    if (error == Result::kConnectionLost) {
+      if (Repeat(box, read, asked_at, callback)) return;
+      error = Result::kUnreachable;
+    }
     LogPage page;
     if (!error) error = Decode(read.query, asked_at, answer, &page);
     RecordAnswer(box, read, error);
@@ -116,6 +120,18 @@
                   read.limit, answered);
 }
 
+bool SharedLog::Repeat(const LogBox& box, const PeerRead& read,
+                       TimePoint asked_at, const ReadCallback& callback) {
+  auto passed =
+      std::chrono::duration_cast<milliseconds>(Clock::now() - asked_at);
+  if (passed >= read.limit) return false;
+  PeerRead repeated = read;
+  repeated.limit -= passed;
+  repeated.hold = std::max(read.hold - passed, milliseconds(0));
+  ReadPeer(box, repeated, callback);
+  return true;
+}
+
 void SharedLog::RunAfter(nanoseconds delay, std::function<void()> action) {
   auto timer = std::make_shared<boost::asio::steady_timer>(*loop_);
   timer->expires_after(delay);
--- a/daemon/shared_log.h
+++ b/daemon/shared_log.h
@@ -84,6 +84,10 @@
   void RecordSearch(const SearchStart& start) override;
   void RecordStoreFailure(const StoreFailure& failure) override;
 
+  // Sends the read again, when the kept connection that it was sent on has
+  // failed. False: its time is up.
+  bool Repeat(const LogBox& box, const PeerRead& read, TimePoint asked_at,
+              const ReadCallback& callback);
   // What the box answered; an error when it can't be used.
   std::error_code Decode(const LogQuery& query, TimePoint asked_at,
                          const std::string& body, LogPage* page) const;
--- a/leverwick/result.cc
+++ b/leverwick/result.cc
@@ -121,6 +121,8 @@
        "The box does not own the slot."},
       {Result::kNoConnection, "no_connection", 503, kNotRun,
        "No connection to the other side came up in time."},
+      {Result::kConnectionLost, "connection_lost", 502, kMayHaveRun,
+       "A kept connection failed; a new one may work."},
   };
   return results;
 }
--- a/leverwick/result.h
+++ b/leverwick/result.h
@@ -73,6 +73,7 @@
   kExpired = 5006,
   kNotOwner = 5007,
   kNoConnection = 5008,
+  kConnectionLost = 5009,
 };
 
 // What is known about the execution of a request when its result is returned.
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -69,6 +69,7 @@
   void ResumeReading() { tcp_->ResumeReading(); }
   bool any_sent() const { return tcp_->any_sent(); }
   bool is_open() const { return tcp_->is_open(); }
+  bool is_kept() const { return calls_ > 1; }
   TimePoint usable_until() const { return usable_until_; }
 
  private:
@@ -150,7 +151,8 @@
     failure.sent = tcp_->any_sent();
     failure.garbled = garbled;
     failure.closed_unanswered =
-        calls_ == 1 && !reader_.any_read() && IsClose(failure.error);
+        !is_kept() && !reader_.any_read() && IsClose(failure.error);
+    failure.on_kept_connection = is_kept();
     Close();
     if (call != nullptr) call->observer_->OnCallFailed(failure);
   }
@@ -196,6 +198,10 @@
   return connection_ != nullptr && connection_->any_sent();
 }
 
+bool ClientCall::on_kept_connection() const {
+  return connection_ != nullptr && connection_->is_kept();
+}
+
 std::shared_ptr<ClientCall> HttpConnections::Send(
     const std::string& address, std::string request,
     ClientCall::Observer* observer) {
@@ -232,7 +238,9 @@
               return;
             }
             if (error) {
-              return call->observer_->OnCallFailed({error, false, false});
+              ClientCall::Failure failure;
+              failure.error = error;
+              return call->observer_->OnCallFailed(failure);
             }
             auto connection =
                 std::make_shared<ClientConnection>(this, address, tcp);
@@ -260,6 +268,14 @@
   return nullptr;
 }
 
+void HttpConnections::CloseIdle(const std::string& address) {
+  auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  auto kept = std::move(found->second);
+  idle_.erase(found);
+  for (const auto& connection : kept) connection->Close();
+}
+
 void HttpConnections::Keep(
     const std::shared_ptr<ClientConnection>& connection) {
   auto& kept = idle_[connection->address()];
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -42,6 +42,8 @@
     // The connection was opened for the call, and closed before any byte of the
     // answer came.
     bool closed_unanswered = false;
+    // The connection had served a call before: a new one may work.
+    bool on_kept_connection = false;
   };
 
   class Observer {
@@ -63,6 +65,8 @@
   void ResumeReading();
   // Whether a byte of the request may have reached the server.
   bool sent() const;
+  // Whether it was sent on a connection that had served a call before.
+  bool on_kept_connection() const;
 
  private:
   friend class HttpConnections;
@@ -105,6 +109,12 @@
   void Connect(const std::string& address, milliseconds limit,
                const ConnectCallback& callback);
 
+  // Closes the connections to the address that are at rest.
+  void CloseIdle(const std::string& address);
+
+  // Expires with this.
+  std::weak_ptr<const void> lifetime() const { return lifetime_; }
+
   uint64_t opened() const { return opened_; }
   size_t idle() const;
   // Whether a connection to the address is open and at rest.
@@ -126,6 +136,7 @@
   uint64_t opened_ = 0;
   std::function<void(const std::string& address)> rest_closed_ =
       [](const std::string&) {};
+  const std::shared_ptr<const int> lifetime_ = std::make_shared<const int>(0);
 };
 
 }  // namespace leverwick
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -22,7 +22,9 @@
 
 // Lives until it is answered, has failed or has run out of time. Errors:
 // kNoConnection (nothing answered a new connection, so that no byte of the call
-// has left) and kUnreachable; any status is an answer.
+// has left), kConnectionLost (a kept connection was closed or stayed silent,
+// which tells nothing of the server; a call that may be repeated is sent on a
+// new connection next) and kUnreachable; any status is an answer.
 class HttpCall : public std::enable_shared_from_this<HttpCall>,
                  private ClientCall::Observer {
  public:
@@ -35,16 +37,26 @@
                     milliseconds limit, Callback callback);
 
  private:
-  HttpCall(boost::asio::io_context* loop, Callback callback)
-      : timer_(*loop), callback_(std::move(callback)) {}
+  HttpCall(boost::asio::io_context* loop, HttpConnections* connections,
+           std::string address, Callback callback)
+      : timer_(*loop),
+        connections_(connections),
+        connections_lifetime_(connections->lifetime()),
+        address_(std::move(address)),
+        callback_(std::move(callback)) {}
 
   bool OnAnswerHead(const HttpHead& head) override;
   void OnAnswerBody(std::string_view bytes) override { body_.append(bytes); }
   void OnAnswerEnd() override { End({}); }
   void OnCallFailed(const ClientCall::Failure& failure) override;
+  void OnTimeOut();
+  void EndConnectionLost();
   void End(std::error_code error);
 
   boost::asio::steady_timer timer_;
+  HttpConnections* const connections_;
+  const std::weak_ptr<const void> connections_lifetime_;
+  const std::string address_;
   Callback callback_;
   std::shared_ptr<ClientCall> call_;
   std::shared_ptr<HttpCall> self_;  // until the end
