--- a/leverwick/testing/log_reader_test.cc
+++ b/leverwick/testing/log_reader_test.cc
@@ -125,6 +125,42 @@
   return scenario;
 }
 
+// Guards against reads through other boxes that keep an endpoint in use after
+// it has left: an entry's end must be known before the endpoint stops serving.
+TEST_CASE("boxes learn of an endpoint's end in time whichever others fail") {
+  // The users' bounds, which grow with the deployments, less a request's way.
+  struct Centre {
+    size_t boxes;
+    milliseconds in_time;
+  };
+  constexpr milliseconds kWay{200};
+  const Centre centres[] = {{2, milliseconds(2000) - kWay},
+                            {3, milliseconds(2000) - kWay},
+                            {7, milliseconds(2000) - kWay},
+                            {60, milliseconds(4000) - kWay},
+                            {197, milliseconds(5000) - kWay}};
+  for (const auto& [boxes, in_time] : centres) {
+    for (Fault fault : kFaults) {
+      for (size_t failing : {size_t{1}, boxes / 2, boxes - 1}) {
+        nanoseconds longest{0};
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+          LogReaderSimulation centre(EntriesOf(boxes), seed);
+          centre.RunFor(milliseconds(seed * 170));
+          SetFault(&centre, fault, FirstBoxes(failing));
+          centre.RunFor(milliseconds(seed * 230));
+          centre.Put();
+          longest = std::max(longest, centre.TimeToKnow(2 * in_time));
+        }
+        CAPTURE(boxes);
+        CAPTURE(failing);
+        CAPTURE(kFaultNames[static_cast<int>(fault)]);
+        CAPTURE(ToSeconds(longest));
+        CHECK(longest < in_time);
+      }
+    }
+  }
+}
+
 // Guards against a box among few that waits out a pause for many boxes when its
 // sources have lost the store and it misses the store for a moment.
 TEST_CASE("the one box that the store serves knows soon after a refusal") {
