HTTP server: bytes of later requests wait behind held ones

Cause: bytes behind a request under way are held and read in a later turn of the loop; bytes that were ready before that turn were read first and replaced the held ones. They now wait behind them. A connection with held bytes is not at rest.

--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -1,6 +1,7 @@
 // A connection is idle, reading or answering. While it answers, bytes of a
 // next request are held, up to a bound, and read afterwards; the read loop
-// stays armed only to notice that the caller left.
+// stays armed only to notice that the caller left. Bytes that come before the
+// held ones have been read wait behind them.
 
 #include "net/async_http_server.h"
 
@@ -79,7 +80,9 @@
     if (IsAtRest()) Rest();
   }
 
-  bool IsAtRest() const { return exchange_ == nullptr && !reader_.any_read(); }
+  bool IsAtRest() const {
+    return exchange_ == nullptr && !reader_.any_read() && held_.empty();
+  }
   TimePoint rests_since() const { return rests_since_; }
   void CloseAtRest() { Drop(); }
 
@@ -114,14 +117,15 @@
   }
 
   void OnBytes(std::string_view bytes) override {
-    if (exchange_ != nullptr) return Hold(bytes);
-    if (!reader_.any_read()) SetTimer(server_->limits_.head_time);
-    Read(bytes);
+    bool must_wait = exchange_ != nullptr || !held_.empty();
+    if (must_wait) return Hold(bytes);
+    BeginRead(bytes);
   }
 
   void Hold(std::string_view bytes) {
     held_.append(bytes);
-    if (held_.size() <= kHeldBytes) return;
+    // Without an answer under way, what is held is about to be read.
+    if (exchange_ == nullptr || held_.size() <= kHeldBytes) return;
     // What is dropped would tear a request apart, so the connection ends
     // behind this answer.
     too_much_held_ = true;
@@ -132,7 +136,12 @@
     if (exchange_ != nullptr || held_.empty() || !tcp_->is_open()) return;
     std::string held;
     held.swap(held_);
-    OnBytes(held);
+    BeginRead(held);
+  }
+
+  void BeginRead(std::string_view bytes) {
+    if (!reader_.any_read()) SetTimer(server_->limits_.head_time);
+    Read(bytes);
   }
 
   void Read(std::string_view bytes) {
