Log cache: a record's renewal is judged by the record before it in the page

Cause: the follower compared each record of a page with what the cache held before the page, so that an entry which ended and came back within a page was handed on as ended only, and all its later renewals were withheld. LogCache::ApplyPage now decides record by record and hands on what is news.

--- /dev/null
+++ b/daemon/testing/topic_pages_test.cc
@@ -0,0 +1,170 @@
+// A follower's listener holds what the log holds, however reads cut the log
+// into pages.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "daemon/topic_follower.h"
+#include "net/testing/test_loop.h"
+
+namespace leverwick {
+namespace {
+
+using State = std::map<std::string, std::string>;
+
+// Values have the form content/number; a record with the same content renews.
+std::string ContentOf(const std::string& value) {
+  return value.substr(0, value.find('/'));
+}
+bool IsRenewal(const std::string& before, const std::string& after) {
+  return ContentOf(before) == ContentOf(after);
+}
+
+// A log that gives `page_size()` records at a time.
+class PagedLog : public KeyedLog {
+ public:
+  PagedLog(boost::asio::io_context* loop, std::function<size_t()> page_size)
+      : loop_(loop), page_size_(std::move(page_size)) {}
+
+  void Add(const std::string& key, std::optional<std::string> value) {
+    records_.push_back({key, value});
+    if (value) {
+      state_[key] = ContentOf(*value);
+    } else {
+      state_.erase(key);
+    }
+  }
+  const State& state() const { return state_; }
+  uint64_t end() const { return records_.size(); }
+
+  void Read(const LogQuery& query, ReadCallback callback) override {
+    LogPage page;
+    auto first = records_.begin() + static_cast<std::ptrdiff_t>(query.from);
+    auto left = static_cast<size_t>(records_.end() - first);
+    size_t size = std::min(left, page_size_());
+    page.records.assign(first, first + static_cast<std::ptrdiff_t>(size));
+    page.next = query.from + size;
+    page.end = records_.size();
+    page.as_of = Clock::now();
+    boost::asio::post(*loop_, [callback, page] { callback({}, page); });
+  }
+  void ReadNewest(const LogQuery&, const std::string&,
+                  NewestCallback callback) override {
+    NewestPage page;
+    State newest;
+    for (const KeyedRecord& record : records_) {
+      if (record.value) newest[record.key] = *record.value;
+      if (!record.value) newest.erase(record.key);
+    }
+    for (const auto& [key, value] : newest) {
+      page.records.push_back({key, value});
+    }
+    page.end = records_.size();
+    page.as_of = Clock::now();
+    boost::asio::post(*loop_, [callback, page] { callback({}, page); });
+  }
+  void Append(const std::string&, const KeyedRecord&, std::optional<uint64_t>,
+              AppendCallback) override {}
+
+ private:
+  boost::asio::io_context* const loop_;
+  const std::function<size_t()> page_size_;
+  std::vector<KeyedRecord> records_;
+  State state_;
+};
+
+class Listener : public TopicFollower::Listener {
+ public:
+  void OnSnapshot(const std::vector<KeyedRecord>& records) override {
+    state.clear();
+    for (const KeyedRecord& record : records) OnRecord(record);
+  }
+  void OnRecord(const KeyedRecord& record) override {
+    ++records;
+    if (record.value) state[record.key] = ContentOf(*record.value);
+    if (!record.value) state.erase(record.key);
+  }
+  void OnRead(TimePoint) override {}
+  void OnReadFailed(std::error_code) override {}
+
+  State state;
+  size_t records = 0;
+};
+
+// What the cache passes on to boxes that read all of it.
+State StateOf(const LogCache& cache) {
+  LogPage page;
+  State state;
+  if (!cache.ReadFrom(0, &page)) return state;
+  for (const KeyedRecord& record : page.records) {
+    state[record.key] = ContentOf(*record.value);
+  }
+  return state;
+}
+
+FollowerOptions Options() {
+  FollowerOptions options;
+  options.topic = "t";
+  return options;
+}
+
+// Guards against a record that is compared with what was known before its
+// page: an entry that lapsed and came back within a page was lost for good.
+TEST_CASE("a record that comes back within a page is no renewal") {
+  boost::asio::io_context loop;
+  PagedLog log(&loop, [] { return 100; });
+  log.Add("a", "ready/1");
+  Listener listener;
+  TopicFollower follower(&loop, &log, Options(), &listener);
+  follower.cache()->SetRenewalTest(IsRenewal);
+  follower.Start();
+  REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
+  log.Add("a", std::nullopt);
+  log.Add("a", "ready/2");
+  REQUIRE(RunUntil(&loop, [&] { return follower.end() == log.end(); }));
+  CHECK(listener.state == log.state());
+  // What only renews is withheld still.
+  size_t before = listener.records;
+  log.Add("a", "ready/3");
+  REQUIRE(RunUntil(&loop, [&] { return follower.end() == log.end(); }));
+  CHECK(listener.records == before);
+}
+
+TEST_CASE("any writes in any pages end in the state of the log") {
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    boost::asio::io_context loop;
+    PagedLog log(&loop, [&] { return 1 + random() % 6; });
+    Listener listener;
+    TopicFollower follower(&loop, &log, Options(), &listener);
+    follower.cache()->SetRenewalTest(IsRenewal);
+    follower.Start();
+    REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
+    for (int step = 0; step < 60; ++step) {
+      std::string key(1, static_cast<char>('a' + random() % 4));
+      std::string content = random() % 4 == 0 ? "leaving" : "ready";
+      if (random() % 3 == 0) {
+        log.Add(key, std::nullopt);
+      } else {
+        log.Add(key, content + "/" + std::to_string(step));
+      }
+      for (size_t turns = random() % 3; turns > 0; --turns) {
+        loop.restart();
+        loop.poll_one();
+      }
+    }
+    REQUIRE(RunUntil(&loop, [&] { return follower.end() == log.end(); }));
+    CHECK(listener.state == log.state());
+    CHECK(StateOf(*follower.cache()) == log.state());
+  }
+}
+
+}  // namespace
+}  // namespace leverwick
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -112,12 +112,10 @@
   if (error) return OnError(error);
   failures_ = 0;
   next_ = page.next;
-  for (const KeyedRecord& record : page.records) {
-    if (!cache_.IsRenewal(record)) listener_->OnRecord(record);
-  }
+  cache_.ApplyPage(
+      page, [this](const KeyedRecord& record) { listener_->OnRecord(record); });
   // A read that came with less than there is proves nothing yet.
   if (next_ >= page.end) listener_->OnRead(page.as_of);
-  cache_.ApplyPage(page);
   // An empty page before the end would be asked for again without an end.
   if (next_ < page.end && !page.records.empty()) return ReadLog();
   if (next_ < page.end) return OnError(Result::kBadResponse);
--- a/leverwick/log_cache.h
+++ b/leverwick/log_cache.h
@@ -31,8 +31,13 @@
                     TimePoint as_of);
   // Marks the contents as too old to be passed on until the next snapshot.
   void Invalidate() { has_snapshot_ = false; }
-  // Applies a page that starts at or before the end of this cache.
-  void ApplyPage(const LogPage& page);
+  // Applies a page that starts at or before the end of this cache. Calls
+  // `on_news` for each record that does not only renew the newest one of its
+  // key, in order.
+  using RecordCallback = std::function<void(const KeyedRecord&)>;
+  void ApplyPage(
+      const LogPage& page,
+      const RecordCallback& on_news = [](const KeyedRecord&) {});
 
   // Sets a callback that runs after each change of the records or of `as_of`.
   void SetChangeCallback(std::function<void()> callback) {
