HTTP server: a connection is at rest when its last byte has left

Cause: a connection counted as at rest as soon as its answer was whole, with a part of it still queued in the process; a stop closes what rests after 0.3 s, and the idle limit and the making of room do the same. A connection that closes behind its answer was not counted at all, so that the process ended first.

Rest now begins when the last byte has left, closing connections count until then, and a stop waits for both up to its bound. A caller that takes nothing for the idle time is given up; whole answers that wait take 32 MB in all, beyond which the one that has waited for longest is broken off.

--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -96,7 +96,7 @@
   bool quiet =
       took > kNewConnectionsEnd && open == 0 && callers_.connections() == 0;
   if (quiet || took > options_.stop_bound - kEndMargin) {
-    auto cut = static_cast<int>(open);
+    auto cut = static_cast<int>(open + callers_.undelivered());
     kLog.Info("Planned stop ends.", {{"cut_requests", std::to_string(cut)}});
     return stopped_(cut);
   }
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -7,15 +7,20 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <vector>
+
+#include "net/log.h"
 
 namespace leverwick {
 namespace {
 
 using boost::asio::ip::tcp;
 
+const Log kLog("http-server");
+
 // Bytes of the next requests that a caller may send ahead of its answers.
 constexpr size_t kHeldBytes = 64UL * 1024;
+// Of whole answers that wait for slow callers. A small box has 160 MB in all.
+constexpr size_t kMaxUndelivered = 32UL << 20;
 // How long accepting rests when descriptors have run out.
 constexpr milliseconds kAcceptPause{50};
 constexpr int kBacklog = 1024;
@@ -61,7 +66,7 @@
   void Finish() {
     if (exchange_ == nullptr) return;
     Release();
-    if (will_close() || too_much_held_) return CloseAfterAnswer();
+    if (will_close()) return CloseAfterAnswer();
     reader_.SetLimits(ReaderLimits(server_->limits_));
     reader_.Reset();
     Rest();
@@ -81,10 +86,17 @@
   }
 
   bool IsAtRest() const {
-    return exchange_ == nullptr && !reader_.any_read() && held_.empty();
+    return exchange_ == nullptr && !reader_.any_read() && held_.empty() &&
+           pending_bytes() == 0;
   }
   TimePoint rests_since() const { return rests_since_; }
   void CloseAtRest() { Drop(); }
+  void GiveUpDelivery(const char* why) {
+    kLog.Warning(
+        "An answer is broken off: its caller is too slow.",
+        {{"why", why}, {"undelivered_bytes", std::to_string(pending_bytes())}});
+    Drop();
+  }
 
  private:
   static HttpReader::Limits ReaderLimits(const HttpServerLimits& limits) {
@@ -95,12 +107,33 @@
   }
 
   void Rest() {
+    if (pending_bytes() > 0) return AwaitDelivery();
     rests_since_ = Clock::now();
     milliseconds rest = server_->limits_.idle_time;
     if (server_->draining_) rest = std::min(rest, kRestWhileDraining);
     SetTimer(rest);
   }
 
+  // The answer is whole, and a part of it is still in the process.
+  void AwaitDelivery() {
+    if (!is_delivering_) server_->delivering_.push_back(this);
+    is_delivering_ = true;
+    undelivered_before_ = pending_bytes();
+    SetTimer(server_->limits_.idle_time);
+    server_->BoundUndelivered();
+  }
+
+  void CheckDelivery() {
+    bool is_stalled = pending_bytes() >= undelivered_before_;
+    if (is_stalled) return GiveUpDelivery("it takes nothing");
+    AwaitDelivery();
+  }
+
+  void EndDelivery() {
+    if (is_delivering_) server_->RecordDelivered(this);
+    is_delivering_ = false;
+  }
+
   void SetTimer(milliseconds limit) {
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](auto error) {
@@ -112,11 +145,14 @@
 
   void OnTimer() {
     if (exchange_ != nullptr) return;
-    if (!reader_.any_read()) return Drop();
+    bool awaits_delivery = is_closing_ || !reader_.any_read();
+    if (awaits_delivery && pending_bytes() > 0) return CheckDelivery();
+    if (awaits_delivery) return Drop();
     Refuse(408);
   }
 
   void OnBytes(std::string_view bytes) override {
+    if (is_closing_) return;
     bool must_wait = exchange_ != nullptr || !held_.empty();
     if (must_wait) return Hold(bytes);
     BeginRead(bytes);
@@ -133,7 +169,8 @@
   }
 
   void TakeHeld() {
-    if (exchange_ != nullptr || held_.empty() || !tcp_->is_open()) return;
+    bool is_over = is_closing_ || !tcp_->is_open();
+    if (exchange_ != nullptr || held_.empty() || is_over) return;
     std::string held;
     held.swap(held_);
     BeginRead(held);
@@ -165,6 +202,7 @@
   void OnEnd() override {}
 
   void Handle() {
+    EndDelivery();
     close_after_ = !head_.keep_alive;
     old_caller_ = head_.minor_version == 0;
     exchange_ = std::make_shared<ServerExchange>(
@@ -193,7 +231,13 @@
   }
 
   void OnDrained() override {
-    if (exchange_ != nullptr && exchange_->drained_) exchange_->drained_();
+    if (exchange_ != nullptr) {
+      if (exchange_->drained_) exchange_->drained_();
+      return;
+    }
+    EndDelivery();
+    if (is_closing_) return CloseNow();
+    if (!reader_.any_read()) Rest();
   }
 
   void Release() {
@@ -204,8 +248,15 @@
   }
 
   void CloseAfterAnswer() {
+    is_closing_ = true;
+    if (pending_bytes() > 0) return AwaitDelivery();
+    CloseNow();
+  }
+
+  void CloseNow() {
     auto self = shared_from_this();
     timer_.cancel();
+    EndDelivery();
     tcp_->CloseWhenDrained();
     server_->connections_.erase(self);
   }
@@ -213,6 +264,7 @@
   void Drop() {
     auto self = shared_from_this();
     timer_.cancel();
+    EndDelivery();
     tcp_->Close();
     server_->connections_.erase(self);
   }
@@ -229,6 +281,9 @@
   bool close_after_ = false;
   bool old_caller_ = false;
   bool too_much_held_ = false;
+  bool is_closing_ = false;  // once the answer has left
+  bool is_delivering_ = false;
+  size_t undelivered_before_ = 0;  // at the last look
 };
 
 void ServerExchange::Answer(HttpHead head, const std::string& body) {
@@ -337,6 +392,24 @@
   return closing > 0;
 }
 
+void AsyncHttpServer::BoundUndelivered() {
+  size_t bytes = 0;
+  for (const ServerConnection* connection : delivering_) {
+    bytes += connection->pending_bytes();
+  }
+  while (bytes > kMaxUndelivered && delivering_.size() > 1) {
+    ServerConnection* oldest = delivering_.front();
+    bytes -= oldest->pending_bytes();
+    oldest->GiveUpDelivery("others wait too");
+  }
+}
+
+void AsyncHttpServer::RecordDelivered(ServerConnection* connection) {
+  delivering_.erase(
+      std::remove(delivering_.begin(), delivering_.end(), connection),
+      delivering_.end());
+}
+
 void AsyncHttpServer::Drain() {
   draining_ = true;
   auto connections = connections_;
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -6,6 +6,11 @@
 // server can stop in order: it goes on serving open connections, closes them
 // between requests, and says so in its answers.
 //
+// A connection is at rest, and closes, only when the last byte of its answer
+// has left the process. A caller that takes no byte for the idle time is given
+// up. Answers that wait for slow callers take so much memory in all; beyond
+// that, the one that has waited for longest is broken off.
+//
 //   AsyncHttpServer server(&loop, limits, handler);
 //   std::error_code error = server.Listen(address);
 //   server.Drain();  // a planned stop begins
@@ -23,6 +28,7 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 #include "leverwick/time.h"
 #include "net/http_codec.h"
@@ -114,6 +120,8 @@
   void StopListening();
 
   size_t connections() const { return connections_.size(); }
+  // Connections whose answers are whole but have not left the process.
+  size_t undelivered() const { return delivering_.size(); }
   // Requests that were handed to the handler and have no whole answer.
   size_t open_requests() const { return open_requests_; }
 
@@ -123,6 +131,8 @@
   void Accept();
   // Closes connections that have been at rest longest; false if there are none.
   bool MakeRoom();
+  void BoundUndelivered();
+  void RecordDelivered(ServerConnection* connection);
 
   boost::asio::io_context* const loop_;
   const Handler handler_;
@@ -130,6 +140,7 @@
   boost::asio::steady_timer accept_pause_;
   HttpServerLimits limits_;
   std::set<std::shared_ptr<ServerConnection>> connections_;
+  std::vector<ServerConnection*> delivering_;  // in the order of their answers
   size_t open_requests_ = 0;
   bool draining_ = false;
 };
