--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -188,9 +188,8 @@
     return callback(Result::kUnreachable, {});
   }
   store_->Read(query, [this, alive = std::weak_ptr<int>(alive_),
-                       topic = query.topic,
-                       callback = std::move(callback)](std::error_code error,
-                                                       LogPage page) {
+                       topic = query.topic, callback = std::move(callback)](
+                          std::error_code error, LogPage page) {
     if (alive.expired()) return;
     if (IsRetryable(error)) RecordStoreFailure(topic, error);
     callback(error, std::move(page));
--- a/leverwick/testing/log_reader_test.cc
+++ b/leverwick/testing/log_reader_test.cc
@@ -139,7 +139,9 @@
                             {7, milliseconds(2000) - kWay},
                             {60, milliseconds(4000) - kWay},
                             {197, milliseconds(5000) - kWay}};
-  for (const auto& [boxes, in_time] : centres) {
+  for (const Centre& size : centres) {
+    const size_t boxes = size.boxes;
+    const milliseconds in_time = size.in_time;
     for (Fault fault : kFaults) {
       for (size_t failing : {size_t{1}, boxes / 2, boxes - 1}) {
         nanoseconds longest{0};
--- a/net/testing/slow_reader_test.cc
+++ b/net/testing/slow_reader_test.cc
@@ -163,9 +163,10 @@
   rlimit before{};
   getrlimit(RLIMIT_NOFILE, &before);
   rlimit lower = before;
-  lower.rlim_cur = static_cast<rlim_t>(OpenDescriptors() + 3);
+  constexpr int kConnections = 3;
+  lower.rlim_cur = static_cast<rlim_t>(OpenDescriptors()) + kConnections;
   setrlimit(RLIMIT_NOFILE, &lower);
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < kConnections; ++i) {
     others.emplace_back(server.loop);
     boost::system::error_code error;
     others.back().connect(server.endpoint, error);
