--- a/leverwick/log_reader.h
+++ b/leverwick/log_reader.h
@@ -196,6 +196,8 @@
   void RetrySources(const CallPointer& call, nanoseconds until_old);
   int RoundsOfSearch() const;
   void RunRound(const std::shared_ptr<SearchCall>& search);
+  // Returns whether a search whose rounds are over goes on until this box's own
+  // attempt at the store.
   bool AwaitsOwnAttempt(const SearchCall& search);
   void SearchStore(const std::shared_ptr<SearchCall>& search);
   void Probe(const std::shared_ptr<SearchCall>& search, const LogBox& box);
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -176,6 +176,7 @@
     BeginRead(held);
   }
 
+  // The first byte of a request starts the time for the whole of it.
   void BeginRead(std::string_view bytes) {
     if (!reader_.any_read()) SetTimer(server_->limits_.head_time);
     Read(bytes);
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -131,6 +131,8 @@
   void Accept();
   // Closes connections that have been at rest longest; false if there are none.
   bool MakeRoom();
+  // Breaks off answers that wait for slow callers, down to the bound on their
+  // memory.
   void BoundUndelivered();
   void RecordDelivered(ServerConnection* connection);
 
