Test: a slow version of a route with few answers before, known red

Cause, by the code: times are compared only from 30 answers of the version before on (kMinBaselineResponses), so that a route with 8 to 29 of them has no bound, whatever the new version does.

--- a/daemon/testing/version_watch_test.cc
+++ b/daemon/testing/version_watch_test.cc
@@ -39,6 +39,8 @@
     return Seconds(0.015 * engine) + Log(0.0015, 1.2);
   }
   Seconds TargetBegin() { return Seconds(0.023) + Log(0.030, 1.3); }
+  // Of a plain service: 19 ms in the middle, 66 in the slowest hundredth.
+  Seconds PlainTime() { return Log(0.019, 0.53); }
   bool Is(double share) {
     return std::uniform_real_distribution<>(0, 1)(random_) < share;
   }
@@ -62,13 +64,13 @@
 // One box with a roll-out in its first step.
 class Box {
  public:
-  explicit Box(uint32_t seed) : engines_(seed) {
+  explicit Box(uint32_t seed, int baseline_answers = 200) : engines_(seed) {
     TimePoint now = Clock::now() - std::chrono::hours(1);
     rollouts_.RecordOrder("p", "v2", std::chrono::hours(24), now);
     rollouts_.ApplyRecord({"p", "v2", RolloutStep::kCanary}, now);
     rollouts_.RecordSyncedUpTo(now);
     for (const char* version : {"v1", "v2"}) List(version, now);
-    for (int i = 0; i < 200; ++i) BaselineAnswers();
+    for (int i = 0; i < baseline_answers; ++i) BaselineAnswers();
   }
 
   void BaselineAnswers() {
@@ -99,6 +101,21 @@
     return most;
   }
 
+  // The same for plain answers, where the version before got `known` of the
+  // route and no more.
+  int PlainAnswersUntilStopped(const Badness& badness, int known, int most) {
+    WatchedTry before{"p", "v1", "plain", "", "engine-v1"};
+    WatchedTry target{"p", "v2", "plain", "", "engine-v2"};
+    for (int i = 0; i < known; ++i)
+      watch_.Answered(before, false, engines_.PlainTime());
+    for (int i = 0; i < most; ++i) {
+      double factor = engines_.Is(badness.share) ? badness.factor : 1;
+      watch_.Answered(target, false, factor * engines_.PlainTime());
+      if (!rollouts_.MayUseTarget("p")) return i + 1;
+    }
+    return most;
+  }
+
   VersionWatch* watch() { return &watch_; }
   const ServiceRollouts& rollouts() const { return rollouts_; }
 
@@ -148,6 +165,32 @@
   }
 }
 
+// A service with little traffic: users saw a version completed of whose eleven
+// answers boxes had timed three.
+TEST_CASE("a slow version of a route with few answers before is found") {
+  for (int known : {8, 10, 20, 29}) {
+    CAPTURE(known);
+    int answers = 0;
+    for (uint32_t seed = 1; seed <= 40; ++seed) {
+      Box box(seed, 0);
+      answers += box.PlainAnswersUntilStopped({0.5, 5}, known, 100);
+    }
+    // Half of them are bad, of which fifty bound what may be sent.
+    CHECK(answers / 40 < 50);
+  }
+}
+
+TEST_CASE("a sound version of a route with few answers before is not stopped") {
+  int stopped = 0;
+  for (int known : {8, 10, 20, 29}) {
+    for (uint32_t seed = 1; seed <= 250; ++seed) {
+      Box box(seed, 0);
+      stopped += box.PlainAnswersUntilStopped({}, known, 40) < 40;
+    }
+  }
+  CHECK(stopped <= 10);
+}
+
 TEST_CASE("a version whose streams break off is found") {
   for (uint32_t seed = 1; seed <= 20; ++seed) {
     CAPTURE(seed);
