--- a/leverwick/log_cache.cc
+++ b/leverwick/log_cache.cc
@@ -36,9 +36,10 @@
   Offset offset = static_cast<Offset>(page.next - page.records.size());
   for (const KeyedRecord& record : page.records) {
     // The record before it may be of the same page.
-    bool is_news = !IsRenewal(record);
-    if (is_news) StoreRecord(offset, record);
-    if (is_news) on_news(record);
+    if (!IsRenewal(record)) {
+      StoreRecord(offset, record);
+      on_news(record);
+    }
     ++offset;
   }
   end_ = std::max(end_, page.next);
