Log topics: read again when the store comes back from an older copy

Boxes missed records of any topic after the store had come back from an older copy: its offsets are given out again, and a box read on from its own. Cause: nothing told the copies apart. What a box has read in an earlier era is too old for it, and a reader of an earlier era is told at once to read all again. Without eras (0) nothing changes.

--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -27,9 +27,16 @@
 
 bool HasNews(const LogCache& cache, const LogAsk& ask) {
   if (!cache.has_snapshot()) return false;
+  bool has_eras = cache.era() != 0 && ask.era() != 0;
+  if (has_eras && cache.era() != ask.era()) return cache.era() > ask.era();
   return ask.snapshot() || cache.end() > ask.from();
 }
 
+// The asker's offset is one of an earlier era.
+bool IsOfEarlierEra(const LogAsk& ask, const LogCache& cache) {
+  return ask.era() != 0 && ask.era() < cache.era();
+}
+
 void AnswerEmpty(ServerExchange* exchange, int status) {
   HttpHead head;
   head.status = status;
@@ -65,6 +72,7 @@
   uint64_t next = page.next;
   uint64_t end = page.end;
   TimePoint as_of = page.as_of;
+  StoreEra era = page.era;
   if (page.records.size() >= kLongPage) {
     uint64_t size = 0;
     DeflateRecords(std::move(page), answer.mutable_deflated_records(), &size);
@@ -75,6 +83,7 @@
   answer.set_kind(LogAnswer::PAGE);
   answer.set_end(next);
   answer.set_log_end(end);
+  answer.set_era(era);
   answer.set_as_of_us(MicrosecondsAfter(received, as_of));
   return answer;
 }
@@ -123,6 +132,7 @@
   LogQuery query;
   query.topic = ask.topic();
   query.from = ask.from();
+  query.era = ask.era();
   query.max_wait = std::min(milliseconds(ask.wait_ms()), kLongestHold);
   relay_(query, [exchange](std::error_code error, LogPage page) {
     LogAnswer answer;
@@ -172,7 +182,8 @@
                               TimePoint received) {
   LogAnswer answer;
   LogPage page;
-  if (!cache.ReadFrom(ask.from(), &page)) {
+  bool is_earlier = ask.from() != 0 && IsOfEarlierEra(ask, cache);
+  if (is_earlier || !cache.ReadFrom(ask.from(), &page)) {
     answer.set_kind(LogAnswer::EXPIRED);
     return answer;
   }
@@ -187,6 +198,7 @@
   }
   answer.set_kind(LogAnswer::PAGE);
   answer.set_end(end);
+  answer.set_era(cache.era());
   answer.set_as_of_us(MicrosecondsAfter(received, as_of));
   return answer;
 }
--- a/daemon/peer_post.h
+++ b/daemon/peer_post.h
@@ -26,12 +26,12 @@
   head.target = path;
   head.Set("Host", address);
   head.Set("Content-Length", std::to_string(body.size()));
-  HttpCall::Start(loop, connections, address, RequestText(head) + body,
-                  kPeerPostTime,
-                  [done = std::move(done)](std::error_code error, int status,
-                                           const std::string&) {
-                    done(!error && status == 200);
-                  });
+  HttpCall::Start(
+      loop, connections, address, RequestText(head) + body, kPeerPostTime,
+      [done = std::move(done)](std::error_code error, const HttpHead& head,
+                               const std::string&) {
+        done(!error && head.status == 200);
+      });
 }
 
 }  // namespace leverwick
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -36,6 +36,13 @@
   return options;
 }
 
+// Whether the box has read less of the log than the one that asks.
+bool IsBehind(const LogPage& page, const LogQuery& query) {
+  bool has_eras = page.era != 0 && query.era != 0;
+  if (has_eras && page.era != query.era) return page.era < query.era;
+  return page.end < query.from;
+}
+
 // False when the records can't be read.
 bool InflateRecords(LogAnswer* answer) {
   if (answer->deflated_records().empty()) return true;
@@ -91,6 +98,7 @@
   ask.set_wait_ms(static_cast<uint32_t>(read.hold.count()));
   ask.set_snapshot(read.snapshot);
   ask.set_relayed(read.relayed);
+  ask.set_era(read.query.era);
   std::string body = ask.SerializeAsString();
   HttpHead head;
   head.method = "POST";
@@ -98,8 +106,9 @@
   head.Set("Host", box.address);
   head.Set("Content-Length", std::to_string(body.size()));
   auto answered = [this, alive = std::weak_ptr<int>(alive_), box, read,
-                   asked_at = Clock::now(), callback](
-                      std::error_code error, int, const std::string& answer) {
+                   asked_at = Clock::now(),
+                   callback](std::error_code error, const HttpHead&,
+                             const std::string& answer) {
     if (alive.expired()) return;
     bool may_be_starting = error && Clock::now() < started_ + kStartTime;
     if (may_be_starting) {
@@ -156,16 +165,16 @@
   page->next = answer.end();
   page->end = std::max(answer.end(), answer.log_end());
   page->as_of = MomentAfter(asked_at, answer.as_of_us());
+  page->era = answer.era();
   page->is_long_polled = true;
   for (LogRecord& record : *answer.mutable_records()) {
     KeyedRecord decoded{std::move(*record.mutable_key()), std::nullopt};
     if (!record.dropped()) decoded.value = std::move(*record.mutable_value());
     page->records.push_back(std::move(decoded));
   }
-  bool behind = page->end < query.from;
+  if (IsBehind(*page, query)) return Result::kStaleTable;
   bool old = Clock::now() - page->as_of > query.max_age;
-  return behind || old ? make_error_code(Result::kStaleTable)
-                       : std::error_code();
+  return old ? make_error_code(Result::kStaleTable) : std::error_code();
 }
 
 void SharedLog::RecordAnswer(const LogBox& box, const PeerRead& read,
--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -46,12 +46,9 @@
   CHECK(pair.other_way.calls == 0);
 }
 
-// What a box sends to another one that asks from an offset on.
+// What a box answers to another one.
 LogAnswer AskBox(boost::asio::io_context* loop, const std::string& address,
-                 uint64_t from, size_t* bytes) {
-  LogAsk ask;
-  ask.set_topic(kTopic);
-  ask.set_from(from);
+                 const LogAsk& ask, size_t* bytes) {
   std::string body = ask.SerializeAsString();
   HttpHead head;
   head.method = "POST";
@@ -61,18 +58,108 @@
   HttpConnections connections(loop, HttpConnectionsOptions());
   LogAnswer answer;
   bool answered = false;
-  HttpCall::Start(loop, &connections, address, RequestText(head) + body,
-                  milliseconds(5000),
-                  [&](std::error_code error, int, const std::string& text) {
-                    CHECK_FALSE(error);
-                    *bytes = text.size();
-                    CHECK(answer.ParseFromString(text));
-                    answered = true;
-                  });
+  HttpCall::Start(
+      loop, &connections, address, RequestText(head) + body, milliseconds(5000),
+      [&](std::error_code error, const HttpHead&, const std::string& text) {
+        CHECK_FALSE(error);
+        *bytes = text.size();
+        CHECK(answer.ParseFromString(text));
+        answered = true;
+      });
   REQUIRE(RunUntil(loop, [&] { return answered; }));
   return answer;
 }
 
+LogAnswer AskBox(boost::asio::io_context* loop, const std::string& address,
+                 uint64_t from, size_t* bytes) {
+  LogAsk ask;
+  ask.set_topic(kTopic);
+  ask.set_from(from);
+  return AskBox(loop, address, ask, bytes);
+}
+
+// A log of the second era that ends at 900; its last record is kept.
+void LoadPage(LogCache* cache) {
+  cache->LoadSnapshot({}, 899, Clock::now(), 2);
+  LogPage page;
+  page.records = {{"k", "v"}};
+  page.next = page.end = 900;
+  page.as_of = Clock::now();
+  cache->ApplyPage(page);
+}
+
+// Guards against offsets of one era that are read in another one.
+TEST_CASE("boxes that read in other eras of the store are told apart") {
+  boost::asio::io_context loop;
+  LogCache cache;
+  LogServer server(&loop);
+  server.Share(kTopic, &cache);
+  auto endpoint = FreePort(&loop);
+  REQUIRE_FALSE(server.Listen(endpoint));
+  LoadPage(&cache);
+  size_t bytes = 0;
+  LogAsk ask;
+  ask.set_topic(kTopic);
+  ask.set_wait_ms(100);
+  SUBCASE("the asker knows an earlier one: at once, all is to be read again") {
+    for (uint64_t from : {1, 900, 1000}) {
+      ask.set_era(1);
+      ask.set_from(from);
+      TimePoint asked_at = Clock::now();
+      LogAnswer answer = AskBox(&loop, AddressOf(endpoint), ask, &bytes);
+      CHECK(answer.kind() == LogAnswer::EXPIRED);
+      CHECK(Clock::now() - asked_at < milliseconds(90));
+    }
+  }
+  SUBCASE("the asker knows a later one: held, and of no use") {
+    ask.set_era(3);
+    ask.set_from(899);
+    TimePoint asked_at = Clock::now();
+    LogAnswer answer = AskBox(&loop, AddressOf(endpoint), ask, &bytes);
+    CHECK(answer.kind() == LogAnswer::PAGE);
+    CHECK(answer.era() == 2);
+    CHECK(Clock::now() - asked_at > milliseconds(90));
+  }
+  SUBCASE("the asker knows none") {
+    ask.set_from(899);
+    LogAnswer answer = AskBox(&loop, AddressOf(endpoint), ask, &bytes);
+    CHECK(answer.kind() == LogAnswer::PAGE);
+    CHECK(answer.records_size() == 1);
+  }
+}
+
+TEST_CASE("what a box has read in an earlier era is too old") {
+  boost::asio::io_context loop;
+  LogCache cache;
+  LogServer server(&loop);
+  server.Share(kTopic, &cache);
+  auto endpoint = FreePort(&loop);
+  REQUIRE_FALSE(server.Listen(endpoint));
+  LoadPage(&cache);
+  Metrics metrics;
+  MemoryLog store(&loop);
+  store.TurnAway();
+  SharedLog log(&loop, &store, {"b", "127.0.0.1:1", 1}, 1, &metrics);
+  log.SetBoxes({{"a", AddressOf(endpoint), 2}});
+  for (auto [era, from, is_usable] :
+       {std::tuple(3, 899, false), std::tuple(2, 1000, false),
+        std::tuple(2, 899, true), std::tuple(0, 899, true)}) {
+    CAPTURE(era);
+    CAPTURE(from);
+    LogQuery query;
+    query.topic = kTopic;
+    query.from = from;
+    query.era = era;
+    query.no_long_poll = true;
+    query.max_age = std::chrono::minutes(1);
+    std::optional<std::error_code> answered;
+    log.Read(query,
+             [&](std::error_code error, const LogPage&) { answered = error; });
+    REQUIRE(RunUntil(&loop, [&] { return answered.has_value(); }));
+    CHECK(!*answered == is_usable);
+  }
+}
+
 TEST_CASE("a relayed page that ends before the log proves nothing") {
   boost::asio::io_context loop;
   LogCache cache;
--- a/daemon/testing/topic_pages_test.cc
+++ b/daemon/testing/topic_pages_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "daemon/topic_follower.h"
+#include "leverwick/result.h"
 #include "net/testing/test_loop.h"
 
 namespace leverwick {
@@ -40,11 +41,25 @@
       state_.erase(key);
     }
   }
+  // The store comes back from a copy that lacks the newest `lost` records.
+  void GoBack(size_t lost) {
+    std::vector<KeyedRecord> kept = std::move(records_);
+    kept.resize(kept.size() - std::min(lost, kept.size()));
+    records_.clear();
+    state_.clear();
+    for (const KeyedRecord& record : kept) Add(record.key, record.value);
+    ++era_;
+  }
   const State& state() const { return state_; }
+  StoreEra era() const { return era_; }
   uint64_t end() const { return records_.size(); }
 
   void Read(const LogQuery& query, ReadCallback callback) override {
     LogPage page;
+    if (query.from > records_.size()) {
+      boost::asio::post(*loop_, [callback] { callback(Result::kExpired, {}); });
+      return;
+    }
     auto first = records_.begin() + static_cast<std::ptrdiff_t>(query.from);
     auto left = static_cast<size_t>(records_.end() - first);
     size_t size = std::min(left, page_size_());
@@ -52,6 +67,7 @@
     page.next = query.from + size;
     page.end = records_.size();
     page.as_of = Clock::now();
+    page.era = era_;
     boost::asio::post(*loop_, [callback, page] { callback({}, page); });
   }
   void ReadNewest(const LogQuery&, const std::string&,
@@ -67,6 +83,7 @@
     }
     page.end = records_.size();
     page.as_of = Clock::now();
+    page.era = era_;
     boost::asio::post(*loop_, [callback, page] { callback({}, page); });
   }
   void Append(const std::string&, const KeyedRecord&, std::optional<uint64_t>,
@@ -77,6 +94,7 @@
   const std::function<size_t()> page_size_;
   std::vector<KeyedRecord> records_;
   State state_;
+  StoreEra era_ = 1;
 };
 
 class Listener : public TopicFollower::Listener {
@@ -166,5 +184,62 @@
   }
 }
 
+// Guards against records that are given the offsets of others, which the box
+// has read, after the store came back from an older copy.
+TEST_CASE("records at offsets that a store gives out again are read") {
+  boost::asio::io_context loop;
+  PagedLog log(&loop, [] { return 100; });
+  log.Add("a", "ready/1");
+  log.Add("b", "ready/2");
+  Listener listener;
+  TopicFollower follower(&loop, &log, Options(), &listener);
+  follower.Start();
+  REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
+  log.GoBack(1);
+  SUBCASE("as many records as were lost") { log.Add("a", std::nullopt); }
+  SUBCASE("more") {
+    log.Add("c", "ready/3");
+    log.Add("d", "ready/4");
+  }
+  SUBCASE("fewer") {}
+  REQUIRE(RunUntil(&loop, [&] { return follower.era() == log.era(); }));
+  REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
+  CHECK(listener.state == log.state());
+  CHECK(StateOf(*follower.cache()) == log.state());
+  CHECK(follower.cache()->era() == log.era());
+}
+
+TEST_CASE("any writes and returns of the store end in the state of the log") {
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    boost::asio::io_context loop;
+    PagedLog log(&loop, [&] { return 1 + random() % 6; });
+    Listener listener;
+    TopicFollower follower(&loop, &log, Options(), &listener);
+    follower.cache()->SetRenewalTest(IsRenewal);
+    follower.Start();
+    for (int step = 0; step < 60; ++step) {
+      std::string key(1, static_cast<char>('a' + random() % 4));
+      if (random() % 12 == 0) log.GoBack(1 + random() % 4);
+      if (random() % 3 == 0) {
+        log.Add(key, std::nullopt);
+      } else {
+        log.Add(key, "ready/" + std::to_string(step));
+      }
+      for (size_t turns = random() % 3; turns > 0; --turns) {
+        loop.restart();
+        loop.poll_one();
+      }
+    }
+    REQUIRE(RunUntil(&loop, [&] {
+      return follower.has_snapshot() && follower.era() == log.era() &&
+             follower.end() == log.end();
+    }));
+    CHECK(listener.state == log.state());
+    CHECK(StateOf(*follower.cache()) == log.state());
+  }
+}
+
 }  // namespace
 }  // namespace leverwick
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -30,6 +30,10 @@
 constexpr int kLeastCutOffPauseMs = 50;
 constexpr int kMostCutOffPauseMs = 150;
 
+bool IsOfEarlierEra(StoreEra era, StoreEra known) {
+  return era != 0 && era < known;
+}
+
 }  // namespace
 
 TopicFollower::TopicFollower(boost::asio::io_context* loop, KeyedLog* log,
@@ -58,6 +62,7 @@
   LogQuery query;
   query.topic = options_.topic;
   query.from = next_;
+  query.era = era_;
   query.no_long_poll = failures_ > 0;
   query.max_wait = query.no_long_poll ? milliseconds(0) : options_.wait;
   query.max_age = options_.most_age;
@@ -77,20 +82,24 @@
 
 void TopicFollower::OnNewest(std::error_code error, NewestPage page) {
   if (error) return OnError(error);
+  if (IsOfEarlierEra(page.era, era_)) return OnError(Result::kStaleTable);
   if (snapshot_.empty()) {
     snapshot_end_ = page.end;
     snapshot_as_of_ = page.as_of;
+    snapshot_era_ = page.era;
   }
+  if (page.era != snapshot_era_) return StartEra(page.era);
   for (KeyedRecord& record : page.records) {
     snapshot_.push_back(std::move(record));
   }
   if (page.has_more && !snapshot_.empty())
     return ReadNewest(snapshot_.back().key);
   next_ = snapshot_end_;
+  era_ = std::max(era_, snapshot_era_);
   has_snapshot_ = true;
   listener_->OnSnapshot(snapshot_);
   listener_->OnRead(snapshot_as_of_);
-  cache_.LoadSnapshot(snapshot_, snapshot_end_, snapshot_as_of_);
+  cache_.LoadSnapshot(snapshot_, snapshot_end_, snapshot_as_of_, era_);
   snapshot_.clear();
   After(options_.interval);
 }
@@ -110,6 +119,8 @@
     return ReadNewest("");
   }
   if (error) return OnError(error);
+  if (IsOfEarlierEra(page.era, era_)) return OnError(Result::kStaleTable);
+  if (page.era > era_) return StartEra(page.era);
   failures_ = 0;
   next_ = page.next;
   cache_.ApplyPage(
@@ -122,6 +133,15 @@
   After(page.is_long_polled ? milliseconds(0) : PauseAfter(page.as_of));
 }
 
+void TopicFollower::StartEra(StoreEra era) {
+  kLog.Info("The store came back from an older copy; reading all newest.",
+            {{"topic", options_.topic}, {"era", std::to_string(era)}});
+  era_ = std::max(era_, era);
+  next_ = 0;
+  has_snapshot_ = false;
+  ReadNewest("");
+}
+
 milliseconds TopicFollower::PauseAfter(TimePoint as_of) const {
   if (options_.most_age.count() == 0) return options_.interval;
   auto until_old = std::chrono::duration_cast<milliseconds>(
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -59,6 +59,8 @@
 
   // Where the log ended at the newest read.
   uint64_t end() const { return next_; }
+  // The newest era of the store that was read.
+  StoreEra era() const { return era_; }
   bool has_snapshot() const { return has_snapshot_; }
   // What has been read, for other boxes.
   LogCache* cache() { return &cache_; }
@@ -67,6 +69,9 @@
   void ReadNewest(const std::string& after_key);
   void OnNewest(std::error_code error, NewestPage page);
   void ReadLog();
+  // Reads everything again: what was read after the store's copy was made may
+  // be lost, and other records may have its offsets.
+  void StartEra(StoreEra era);
   void OnPage(std::error_code error, const LogPage& page);
   LogQuery Query() const;
   void OnError(std::error_code error);
@@ -85,12 +90,14 @@
   std::vector<KeyedRecord> snapshot_;  // pages so far
   uint64_t snapshot_end_ = 0;          // of the first page
   TimePoint snapshot_as_of_{};
+  StoreEra snapshot_era_ = 0;
   LogCache cache_;
   bool has_snapshot_ = false;
   bool running_ = false;
   int failures_ = 0;     // of the last calls, in a row
   uint64_t starts_ = 0;  // answers to calls of an earlier start are dropped
   uint64_t next_ = 0;
+  StoreEra era_ = 0;
 };
 
 }  // namespace leverwick
--- a/leverwick/keyed_log.h
+++ b/leverwick/keyed_log.h
@@ -5,6 +5,10 @@
 // up to which it brings the reader, and a time at which the log had not grown
 // beyond its end. Freshness proofs are built from these two values.
 //
+// A store that comes back from an older copy has lost its newest records and
+// gives their offsets out again. Each page names the era of the store, which is
+// higher after each such return; offsets of different eras are not comparable.
+//
 //   log->Read({"boxes", 840, 1500ms}, [](std::error_code, LogPage) {...});
 
 #ifndef LEVERWICK_KEYED_LOG_H_
@@ -21,6 +25,9 @@
 
 namespace leverwick {
 
+// 0: the source does not tell it.
+using StoreEra = uint64_t;
+
 // A record without a value is a tombstone: it deletes the key.
 struct KeyedRecord {
   std::string key;
@@ -33,6 +40,7 @@
   uint64_t end = 0;                  // offset of the next record to be written
   // Time by this box's clock at which the log had not grown beyond `end`.
   TimePoint as_of{};
+  StoreEra era = 0;
   // The source replied as soon as it had new records, so the reader need not
   // pause before the next read.
   bool is_long_polled = false;
@@ -44,6 +52,7 @@
   bool has_more = false;  // request the next page, after the last record's key
   uint64_t end = 0;
   TimePoint as_of{};
+  StoreEra era = 0;
 };
 
 struct LogQuery {
@@ -56,6 +65,9 @@
   bool no_long_poll = false;
   // Maximum age of a reply that another box passes on.
   milliseconds max_age{0};
+  // The newest era that the reader knows. What a box has read in an earlier one
+  // is too old.
+  StoreEra era = 0;
 };
 
 // Errors: kNoConnection (the call never left this box), kUnreachable (no
--- a/leverwick/log_cache.cc
+++ b/leverwick/log_cache.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 void LogCache::LoadSnapshot(const std::vector<KeyedRecord>& records,
-                            uint64_t end, TimePoint as_of) {
+                            uint64_t end, TimePoint as_of, StoreEra era) {
   records_.clear();
   offsets_.clear();
   tombstones_.clear();
@@ -28,6 +28,7 @@
   complete_from_ = end;  // earlier tombstones may be missing
   end_ = end;
   as_of_ = as_of;
+  era_ = era;
   has_snapshot_ = true;
   change_callback_();
 }
@@ -90,6 +91,7 @@
   page->next = end_;
   page->end = end_;
   page->as_of = as_of_;
+  page->era = era_;
   return true;
 }
 
--- a/leverwick/log_cache.h
+++ b/leverwick/log_cache.h
@@ -28,10 +28,11 @@
   // Replaces the contents with the newest record of every key, in a log that
   // ends at `end`.
   void LoadSnapshot(const std::vector<KeyedRecord>& records, uint64_t end,
-                    TimePoint as_of);
+                    TimePoint as_of, StoreEra era = 0);
   // Marks the contents as too old to be passed on until the next snapshot.
   void Invalidate() { has_snapshot_ = false; }
-  // Applies a page that starts at or before the end of this cache. Calls
+  // Applies a page that starts at or before the end of this cache and is of the
+  // era of its snapshot. Calls
   // `on_news` for each record that does not only renew the newest one of its
   // key, in order.
   using RecordCallback = std::function<void(const KeyedRecord&)>;
@@ -54,6 +55,8 @@
 
   bool has_snapshot() const { return has_snapshot_; }
   uint64_t end() const { return end_; }
+  // Of the store, when the snapshot was read.
+  StoreEra era() const { return era_; }
   // Counts the changes of the records.
   uint64_t revision() const { return revision_; }
   // Returns a time at which the log had not grown beyond `end`.
@@ -78,6 +81,7 @@
   std::map<Offset, std::string> tombstones_;  // offset to deleted key
   uint64_t complete_from_ = 0;  // no record has been evicted from here on
   uint64_t end_ = 0;
+  StoreEra era_ = 0;
   TimePoint as_of_{};
   bool has_snapshot_ = false;
   uint64_t revision_ = 0;
--- a/leverwick/log_reader.cc
+++ b/leverwick/log_reader.cc
@@ -178,7 +178,8 @@
   call->snapshot = true;
   call->callback = [callback = std::move(callback)](
                        std::error_code error, LogPage page, bool has_more) {
-    callback(error, {std::move(page.records), has_more, page.end, page.as_of});
+    callback(error, {std::move(page.records), has_more, page.end, page.as_of,
+                     page.era});
   };
   Start(call);
 }
@@ -311,6 +312,7 @@
           page.records = std::move(newest.records);
           page.next = page.end = newest.end;
           page.as_of = newest.as_of;
+          page.era = newest.era;
           answered(error, std::move(page), newest.has_more);
         });
   }
--- a/net/http_call.cc
+++ b/net/http_call.cc
@@ -19,7 +19,7 @@
 }
 
 bool HttpCall::OnAnswerHead(const HttpHead& head) {
-  status_ = head.status;
+  head_ = head;
   return true;
 }
 
@@ -47,7 +47,7 @@
   auto self = std::move(self_);
   self_ = nullptr;
   timer_.cancel();
-  callback_(error, status_, std::move(body_));
+  callback_(error, error ? HttpHead() : head_, std::move(body_));
 }
 
 }  // namespace leverwick
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -1,9 +1,8 @@
 // One request whose whole answer is wanted within a time.
 //
 //   HttpCall::Start(&loop, &connections, address, text, 500ms,
-//                   [](std::error_code error, int status, std::string body) {
-//                     ...
-//                   });
+//                   [](std::error_code error, const HttpHead& head,
+//                      std::string body) { ... });
 
 #ifndef NET_HTTP_CALL_H_
 #define NET_HTTP_CALL_H_
@@ -24,12 +23,13 @@
 // kNoConnection (nothing answered a new connection, so that no byte of the call
 // has left), kConnectionLost (a kept connection was closed or stayed silent,
 // which tells nothing of the server; a call that may be repeated is sent on a
-// new connection next) and kUnreachable; any status is an answer.
+// new connection next) and kUnreachable; any status is an answer. The head is
+// empty after an error.
 class HttpCall : public std::enable_shared_from_this<HttpCall>,
                  private ClientCall::Observer {
  public:
   using Callback =
-      std::function<void(std::error_code, int status, std::string body)>;
+      std::function<void(std::error_code, const HttpHead&, std::string body)>;
 
   // `request` is the whole message.
   static void Start(boost::asio::io_context* loop, HttpConnections* connections,
@@ -60,7 +60,7 @@
   Callback callback_;
   std::shared_ptr<ClientCall> call_;
   std::shared_ptr<HttpCall> self_;  // until the end
-  int status_ = 0;
+  HttpHead head_;
   std::string body_;
 };
 
