Duty lease: a token is never used again after its term

Cause: a holder whose term had ended by its own clock kept its token until the log showed another holder, and records of an earlier era of the store were trusted like others.

A record of an earlier era frees the lease only after a whole term without another one.

--- a/daemon/duty_holder.cc
+++ b/daemon/duty_holder.cc
@@ -42,6 +42,7 @@
   note.set_number(record.number);
   note.set_released(record.released);
   note.set_address(record.address);
+  note.set_era(record.era);
   return MessageToJson(note);
 }
 
@@ -53,7 +54,8 @@
     return std::nullopt;
   }
   return LeaseRecord{note.box(),   note.life(),   note.address(),
-                     note.token(), note.number(), note.released()};
+                     note.token(), note.number(), note.released(),
+                     note.era()};
 }
 
 }  // namespace
@@ -90,7 +92,7 @@
 
 void DutyHolder::OnRead(TimePoint as_of) {
   TimePoint now = Clock::now();
-  lease_.RecordRead(newest_, follower_.end(), as_of, now);
+  lease_.RecordRead({newest_, follower_.end(), follower_.era()}, as_of, now);
   Tick(now);
 }
 
--- a/leverwick/duty_lease.h
+++ b/leverwick/duty_lease.h
@@ -14,11 +14,18 @@
 // clock that its term is over.
 //
 // Each holder has a fencing token that is higher than that of every holder
-// before it. A box that has held the lease stays away from it for a while
-// after it has lost it, so that two boxes don't alternate.
+// before it. A box that has lost the lease, or whose term has ended by its own
+// clock, never uses its token again, whatever the log shows. A box that has
+// held the lease stays away from it for a while after it has lost it, so that
+// two boxes don't alternate.
+//
+// A store that came back from an older copy may lack the record of a box that
+// still holds the lease. What was written in an earlier era therefore proves
+// nothing until a whole term has passed, except to a holder whose term has not
+// ended.
 //
 //   DutyLease lease({"box-1", "box-1/4711", address}, options, started_at);
-//   lease.RecordRead(newest, end, as_of, now);  // after each read of the log
+//   lease.RecordRead({newest, end, era}, as_of, now);  // after each read
 //   if (auto append = lease.NextAppend(now)) ...  // send it to the store
 //   lease.RecordAppend(error);
 //   std::optional<uint64_t> token = lease.TokenAt(now);  // nullopt: not holder
@@ -32,6 +39,7 @@
 #include <string>
 #include <system_error>
 
+#include "leverwick/keyed_log.h"
 #include "leverwick/time.h"
 
 namespace leverwick {
@@ -44,6 +52,14 @@
   uint64_t token = 0;     // fencing token of the holder
   uint64_t number = 0;    // of the record among those of its process, from 1
   bool released = false;  // the holder gives the lease up
+  StoreEra era = 0;       // of the store, as far as the holder knew
+};
+
+// What a read of the log has shown.
+struct LeaseLog {
+  std::optional<LeaseRecord> newest;
+  uint64_t end = 0;
+  StoreEra era = 0;
 };
 
 struct LeaseAppend {
@@ -67,6 +83,9 @@
   // A box that has lost the lease, or has just started, doesn't take it over
   // for this long. At most `term`.
   nanoseconds absence{0};
+  // All boxes start for the first time, so that nobody has held the lease if
+  // the log is empty.
+  bool is_first_start = false;
 };
 
 class DutyLease {
@@ -74,10 +93,9 @@
   DutyLease(LeaseCandidate self, const LeaseOptions& options,
             TimePoint started);
 
-  // Records that the log was read: its newest record if it has one, its end,
-  // and a time at which it had not grown beyond that end.
-  void RecordRead(const std::optional<LeaseRecord>& newest, uint64_t end,
-                  TimePoint as_of, TimePoint now);
+  // Records that the log was read. `as_of` is a time at which it had not grown
+  // beyond that end.
+  void RecordRead(const LeaseLog& log, TimePoint as_of, TimePoint now);
   // Records that a read failed. A term without news counts only if the log
   // was readable throughout.
   void RecordReadFailure();
@@ -112,25 +130,39 @@
   };
 
   bool IsOwn(const LeaseRecord& record) const;
+  // Whether the newest record keeps the lease for this process.
+  bool IsHeldBy(const LeaseRecord& newest) const;
+  // Whether no record can have followed the newest one known and been lost.
+  bool IsNewestOfEra() const;
+  uint64_t NextToken(WallTime wall) const;
   bool MayTakeOver(nanoseconds turn_delay, TimePoint now) const;
   LeaseAppend Send(LeaseRecord record, TimePoint now);
   // The record of that number is in the log.
   void Confirm(uint64_t number);
   void Lose(TimePoint now);
+  // Drops the lease once its term has ended.
+  void CheckTerm(TimePoint now);
+  void DropLease();
 
   const LeaseCandidate self_;
   const LeaseOptions options_;
   const TimePoint started_;
 
   std::optional<LeaseRecord> newest_;
-  std::optional<uint64_t> end_;      // of the log, when it was last read
+  std::optional<uint64_t> end_;   // of the log, when it was last read
+  std::optional<StoreEra> era_;   // of the store, when it was last read
+  bool store_went_back_ = false;  // in the life of this process
+  // This process has read the log before any box can have held the lease for
+  // long.
+  bool saw_first_log_ = false;
   TimePoint changed_at_{};           // when this box first saw that end
   TimePoint unchanged_until_{};      // the log had not grown by then
   std::deque<Attempt> attempts_;     // appends whose effect is not yet known
   std::optional<LeaseAppend> open_;  // the append that is under way
   uint64_t numbers_ = 0;             // of records sent
   TimePoint confirmed_at_{};         // when the newest confirmed one was sent
-  uint64_t token_ = 0;
+  uint64_t token_ = 0;               // of the newest record that was sent
+  uint64_t highest_token_ = 0;       // of all records known
   bool holds_ = false;  // the newest record known is this process's
   // Set: the lease is given up then, when all calls of this box have ended.
   std::optional<TimePoint> release_at_;
--- a/leverwick/testing/duty_lease_simulation.h
+++ b/leverwick/testing/duty_lease_simulation.h
@@ -3,8 +3,9 @@
 //
 // Time is simulated in steps and there is no network; the seed determines
 // every run. Faults: boxes that are suspended, partitioned from the store or
-// restarted, a store that is down, lost answers, and appends that take effect
-// seconds after they were given up.
+// restarted, a store that is down or comes back from an older copy, lost
+// answers, appends that take effect seconds after they were given up, and
+// clocks that differ.
 
 #ifndef LEVERWICK_TESTING_DUTY_LEASE_SIMULATION_H_
 #define LEVERWICK_TESTING_DUTY_LEASE_SIMULATION_H_
@@ -37,7 +38,9 @@
   double restarts = 4;
   double planned_stops = 3;
   double outages = 2;
-  double answer_loss = 0.05;  // probability, per call
+  double returns = 0;             // of the store, from a copy up to 8 s old
+  milliseconds clock_skew{2500};  // of a box, to either side
+  double answer_loss = 0.05;      // probability, per call
 };
 
 struct DutyLeaseResult {
@@ -78,6 +81,7 @@
   struct Box {
     std::unique_ptr<DutyLease> lease;
     std::unique_ptr<StaggeredStart> turns;
+    milliseconds clock_skew{0};
     TimePoint suspended_until{};
     TimePoint partitioned_until{};
     TimePoint down_until{};
@@ -90,6 +94,11 @@
     TimePoint append_due{};
     TimePoint next_act{};
     uint64_t read_to = 0;  // end that the open read began at
+    StoreEra read_era = 0;
+  };
+  struct Entry {
+    LeaseRecord record;
+    TimePoint written{};
   };
   struct Late {
     TimePoint at{};
@@ -115,9 +124,13 @@
       if (other != index) others.push_back(Name(other));
     }
     box.turns = std::make_unique<StaggeredStart>(Name(index), others);
+    int skew = static_cast<int>(scenario_.clock_skew.count());
+    box.clock_skew = DrawTime(-skew, skew);
+    LeaseOptions options = scenario_.lease;
+    options.is_first_start = now_ == kStart;
     std::string life = Name(index) + "/" + std::to_string(++lives_);
     box.lease = std::make_unique<DutyLease>(
-        LeaseCandidate{Name(index), life, ""}, scenario_.lease, now_);
+        LeaseCandidate{Name(index), life, ""}, options, now_);
     return box;
   }
 
@@ -146,6 +159,7 @@
     }
     if (Strikes(scenario_.outages))
       store_down_until_ = now_ + DrawTime(500, 8000);
+    if (Strikes(scenario_.returns)) ReturnOlderCopy();
     if (Strikes(scenario_.planned_stops)) {
       DrawBox().lease->Release(milliseconds(0), now_);
     }
@@ -157,13 +171,21 @@
     }
   }
 
+  // The store is away for a moment, often for less than a held read.
+  void ReturnOlderCopy() {
+    store_down_until_ = std::max(store_down_until_, now_ + DrawTime(0, 2000));
+    TimePoint copied = now_ - DrawTime(300, 8000);
+    while (!log_.empty() && log_.back().written > copied) log_.pop_back();
+    ++era_;
+  }
+
   bool StoreReachable(const Box& box) const {
     return now_ >= store_down_until_ && now_ >= box.partitioned_until;
   }
 
   bool Append(const LeaseAppend& append) {
     if (append.at != log_.size()) return false;
-    log_.push_back(append.record);
+    log_.push_back({append.record, now_});
     return true;
   }
 
@@ -202,12 +224,14 @@
       box->next_read = now_ + DrawTime(150, 350);
       return;
     }
+    bool is_recent = has_news || box->read_era != era_;
     box->read_to = log_.size();
-    std::optional<LeaseRecord> newest;
-    if (!log_.empty()) newest = log_.back();
+    box->read_era = era_;
+    LeaseLog log{std::nullopt, log_.size(), era_};
+    if (!log_.empty()) log.newest = log_.back().record;
     // Without news the answer proves what the store knew a moment ago.
-    TimePoint as_of = has_news ? now_ - milliseconds(20) : box->read_sent_at;
-    box->lease->RecordRead(newest, log_.size(), as_of, now_);
+    TimePoint as_of = is_recent ? now_ - milliseconds(20) : box->read_sent_at;
+    box->lease->RecordRead(log, as_of, now_);
   }
 
   void StepAppend(Box* box) {
@@ -219,7 +243,7 @@
     }
     nanoseconds delay = box->turns->DelayBefore("duties", kTurns, Draw());
     WallTime wall{std::chrono::duration_cast<WallTime::duration>(
-        now_.time_since_epoch())};
+        (now_ + box->clock_skew).time_since_epoch())};
     box->append = box->lease->NextAppend(delay, now_, wall);
     if (!box->append) return;
     ++result_.appends;
@@ -302,7 +326,8 @@
   TimePoint now_ = kStart;
   TimePoint calm_from_{};
   std::vector<Box> boxes_;
-  std::vector<LeaseRecord> log_;
+  std::vector<Entry> log_;
+  StoreEra era_ = 1;
   std::vector<Late> late_;
   std::vector<Call> calls_;
   TimePoint store_down_until_{};
