--- a/daemon/log_server.cc
+++ b/daemon/log_server.cc
@@ -27,16 +27,11 @@
 
 bool HasNews(const LogCache& cache, const LogAsk& ask) {
   if (!cache.has_snapshot()) return false;
-  bool has_eras = cache.era() != 0 && ask.era() != 0;
-  if (has_eras && cache.era() != ask.era()) return cache.era() > ask.era();
+  if (IsEarlierEra(cache.era(), ask.era())) return false;
+  if (IsEarlierEra(ask.era(), cache.era())) return true;
   return ask.snapshot() || cache.end() > ask.from();
 }
 
-// The asker's offset is one of an earlier era.
-bool IsOfEarlierEra(const LogAsk& ask, const LogCache& cache) {
-  return ask.era() != 0 && ask.era() < cache.era();
-}
-
 void AnswerEmpty(ServerExchange* exchange, int status) {
   HttpHead head;
   head.status = status;
@@ -182,8 +177,9 @@
                               TimePoint received) {
   LogAnswer answer;
   LogPage page;
-  bool is_earlier = ask.from() != 0 && IsOfEarlierEra(ask, cache);
-  if (is_earlier || !cache.ReadFrom(ask.from(), &page)) {
+  // Offsets of an earlier era mean nothing here.
+  bool is_other_log = ask.from() != 0 && IsEarlierEra(ask.era(), cache.era());
+  if (is_other_log || !cache.ReadFrom(ask.from(), &page)) {
     answer.set_kind(LogAnswer::EXPIRED);
     return answer;
   }
--- a/daemon/peer_post.h
+++ b/daemon/peer_post.h
@@ -28,9 +28,9 @@
   head.Set("Content-Length", std::to_string(body.size()));
   HttpCall::Start(
       loop, connections, address, RequestText(head) + body, kPeerPostTime,
-      [done = std::move(done)](std::error_code error, const HttpHead& head,
+      [done = std::move(done)](std::error_code error, const HttpHead& answer,
                                const std::string&) {
-        done(!error && head.status == 200);
+        done(!error && answer.status == 200);
       });
 }
 
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -38,8 +38,8 @@
 
 // Whether the box has read less of the log than the one that asks.
 bool IsBehind(const LogPage& page, const LogQuery& query) {
-  bool has_eras = page.era != 0 && query.era != 0;
-  if (has_eras && page.era != query.era) return page.era < query.era;
+  if (IsEarlierEra(page.era, query.era)) return true;
+  if (IsEarlierEra(query.era, page.era)) return false;
   return page.end < query.from;
 }
 
--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -141,22 +141,26 @@
   store.TurnAway();
   SharedLog log(&loop, &store, {"b", "127.0.0.1:1", 1}, 1, &metrics);
   log.SetBoxes({{"a", AddressOf(endpoint), 2}});
-  for (auto [era, from, is_usable] :
-       {std::tuple(3, 899, false), std::tuple(2, 1000, false),
-        std::tuple(2, 899, true), std::tuple(0, 899, true)}) {
-    CAPTURE(era);
-    CAPTURE(from);
+  struct Row {
+    StoreEra era;
+    uint64_t from;
+    bool is_usable;
+  };
+  for (const Row& row : {Row{3, 899, false}, Row{2, 1000, false},
+                         Row{2, 899, true}, Row{0, 899, true}}) {
+    CAPTURE(row.era);
+    CAPTURE(row.from);
     LogQuery query;
     query.topic = kTopic;
-    query.from = from;
-    query.era = era;
+    query.from = row.from;
+    query.era = row.era;
     query.no_long_poll = true;
     query.max_age = std::chrono::minutes(1);
     std::optional<std::error_code> answered;
     log.Read(query,
              [&](std::error_code error, const LogPage&) { answered = error; });
     REQUIRE(RunUntil(&loop, [&] { return answered.has_value(); }));
-    CHECK(!*answered == is_usable);
+    CHECK(!*answered == row.is_usable);
   }
 }
 
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -30,10 +30,6 @@
 constexpr int kLeastCutOffPauseMs = 50;
 constexpr int kMostCutOffPauseMs = 150;
 
-bool IsOfEarlierEra(StoreEra era, StoreEra known) {
-  return era != 0 && era < known;
-}
-
 }  // namespace
 
 TopicFollower::TopicFollower(boost::asio::io_context* loop, KeyedLog* log,
@@ -82,13 +78,13 @@
 
 void TopicFollower::OnNewest(std::error_code error, NewestPage page) {
   if (error) return OnError(error);
-  if (IsOfEarlierEra(page.era, era_)) return OnError(Result::kStaleTable);
+  if (IsEarlierEra(page.era, era_)) return OnError(Result::kStaleTable);
   if (snapshot_.empty()) {
     snapshot_end_ = page.end;
     snapshot_as_of_ = page.as_of;
     snapshot_era_ = page.era;
   }
-  if (page.era != snapshot_era_) return StartEra(page.era);
+  if (page.era > snapshot_era_) return StartEra(page.era);
   for (KeyedRecord& record : page.records) {
     snapshot_.push_back(std::move(record));
   }
@@ -119,7 +115,7 @@
     return ReadNewest("");
   }
   if (error) return OnError(error);
-  if (IsOfEarlierEra(page.era, era_)) return OnError(Result::kStaleTable);
+  if (IsEarlierEra(page.era, era_)) return OnError(Result::kStaleTable);
   if (page.era > era_) return StartEra(page.era);
   failures_ = 0;
   next_ = page.next;
--- a/leverwick/duty_lease.cc
+++ b/leverwick/duty_lease.cc
@@ -115,7 +115,7 @@
                                                  TimePoint now, WallTime wall) {
   CheckTerm(now);
   if (!end_ || open_) return std::nullopt;
-  bool is_holder = holds_ && newest_ && IsOwn(*newest_) && !newest_->released;
+  bool is_holder = holds_ && newest_ && IsHeldBy(*newest_);
   if (is_holder) {
     if (release_at_) {
       if (now < *release_at_) return std::nullopt;
--- a/leverwick/keyed_log.h
+++ b/leverwick/keyed_log.h
@@ -28,6 +28,11 @@
 // 0: the source does not tell it.
 using StoreEra = uint64_t;
 
+// Whether `era` is known to be before `other`.
+inline bool IsEarlierEra(StoreEra era, StoreEra other) {
+  return era != 0 && era < other;
+}
+
 // A record without a value is a tombstone: it deletes the key.
 struct KeyedRecord {
   std::string key;
--- a/leverwick/testing/duty_lease_test.cc
+++ b/leverwick/testing/duty_lease_test.cc
@@ -245,17 +245,20 @@
 // comes back from older copies.
 TEST_CASE("no two boxes act at a time while the store goes back") {
   uint64_t first = FirstSeed();
-  for (auto [boxes, seeds] :
-       {std::pair(2, 300), std::pair(7, 300), std::pair(70, 10)}) {
+  struct Fleet {
+    size_t boxes;
+    uint64_t seeds;
+  };
+  for (const Fleet& fleet : {Fleet{2, 300}, Fleet{7, 300}, Fleet{70, 10}}) {
     DutyLeaseScenario scenario;
-    scenario.boxes = boxes;
+    scenario.boxes = fleet.boxes;
     scenario.returns = 3;
     // Faults that begin late last into the calm, and may strike all boxes.
     const std::chrono::seconds longest_fault{9};
     scenario.duration = Seconds(75);
     scenario.calm = Seconds(30);
-    for (uint64_t seed = first; seed < first + seeds; ++seed) {
-      CAPTURE(boxes);
+    for (uint64_t seed = first; seed < first + fleet.seeds; ++seed) {
+      CAPTURE(fleet.boxes);
       CheckRun(scenario, seed, longest_fault);
     }
   }
