Test: an older answer does not confirm a lease that was released

A box that has released the lease reads its own earlier record when another box passes on what the log held before; it then held the lease again and acted beside the next holder.

--- a/leverwick/testing/duty_lease_test.cc
+++ b/leverwick/testing/duty_lease_test.cc
@@ -124,6 +124,21 @@
   CHECK(lease.NextAppend(milliseconds(0), at + milliseconds(3000), kWall));
 }
 
+// Guards against a box that acts again after it has released the lease, since
+// another box passes on what the log held before.
+TEST_CASE("an older answer does not confirm a lease that was released") {
+  DutyLease lease = Holder();
+  LeaseRecord held = *lease.newest();
+  TimePoint at = kStart + milliseconds(100);
+  lease.Release(kOptions.absence, at);
+  at += kOptions.call_time;
+  REQUIRE(lease.NextAppend(milliseconds(0), at, kWall));
+  lease.RecordAppend({}, at);
+  lease.RecordRead({held, 1}, at - milliseconds(50), at);
+  CHECK_FALSE(lease.TokenAt(at));
+  CHECK_FALSE(lease.NextAppend(milliseconds(0), at, kWall));
+}
+
 TEST_CASE("tokens keep rising when the log is lost") {
   DutyLease lease({"a", "a/1", ""}, kOptions, kStart);
   lease.RecordRead({}, kStart, kStart);
