Duty lease: the first lease is free from when its log is read

Cause: an empty log counted as never written only within a second of the process's start, and boxes read the list of boxes first. It counts from when the box begins to read the log now.

duty_lease_test: the new case; all 19 pass, among them the fleets whose store goes back.

--- a/daemon/duty_holder.cc
+++ b/daemon/duty_holder.cc
@@ -73,6 +73,11 @@
   turn_draw_ = std::uniform_real_distribution<>(0, 1)(random_);
 }
 
+void DutyHolder::Start() {
+  lease_.BeginReading(Clock::now());
+  follower_.Start();
+}
+
 void DutyHolder::SetBoxes(std::vector<std::string> others) {
   turns_.SetBoxes(std::move(others));
   nanoseconds window = kTurns + kTurnsPerBox * turns_.boxes();
--- a/daemon/duty_holder.h
+++ b/daemon/duty_holder.h
@@ -36,7 +36,7 @@
              const LeaseCandidate& self, const LeaseOptions& options,
              std::string topic, Metrics* metrics);
 
-  void Start() { follower_.Start(); }
+  void Start();
   void Tick(TimePoint now);
   // The names of all boxes but this one.
   void SetBoxes(std::vector<std::string> others);
--- a/leverwick/duty_lease.cc
+++ b/leverwick/duty_lease.cc
@@ -27,7 +27,10 @@
 
 DutyLease::DutyLease(LeaseCandidate self, const LeaseOptions& options,
                      TimePoint started)
-    : self_(std::move(self)), options_(options), started_(started) {}
+    : self_(std::move(self)),
+      options_(options),
+      started_(started),
+      reading_since_(started) {}
 
 bool DutyLease::IsOwn(const LeaseRecord& record) const {
   return record.box == self_.box && record.life == self_.life;
@@ -54,7 +57,7 @@
   }
   if (!era_) {
     saw_first_log_ = options_.is_first_start && !log.newest &&
-                     now < started_ + options_.call_time;
+                     now < reading_since_ + options_.call_time;
   }
   era_ = log.era;
   store_went_back_ = store_went_back_ || went_back;
--- a/leverwick/duty_lease.h
+++ b/leverwick/duty_lease.h
@@ -93,6 +93,8 @@
   DutyLease(LeaseCandidate self, const LeaseOptions& options,
             TimePoint started);
 
+  // The log is read from now on; by default, from the start of the process.
+  void BeginReading(TimePoint now) { reading_since_ = now; }
   // Records that the log was read. `as_of` is a time at which it had not grown
   // beyond that end.
   void RecordRead(const LeaseLog& log, TimePoint as_of, TimePoint now);
@@ -148,6 +150,7 @@
   const LeaseOptions options_;
   const TimePoint started_;
 
+  TimePoint reading_since_;
   std::optional<LeaseRecord> newest_;
   std::optional<uint64_t> end_;   // of the log, when it was last read
   std::optional<StoreEra> era_;   // of the store, when it was last read
--- a/leverwick/testing/duty_lease_test.cc
+++ b/leverwick/testing/duty_lease_test.cc
@@ -32,6 +32,17 @@
   CHECK(lease.TokenAt(kStart + milliseconds(3499)));
 }
 
+// Guards against duties that begin a term late on a fleet's first start, when
+// boxes read the list of boxes before the lease.
+TEST_CASE("the lease is free at once when its log is read late at first") {
+  DutyLease lease({"a", "a/1", ""}, kOptions, kStart);
+  TimePoint reading = kStart + milliseconds(1700);
+  lease.BeginReading(reading);
+  TimePoint read = reading + milliseconds(200);
+  lease.RecordRead({}, read, read);
+  CHECK(lease.NextAppend(milliseconds(0), read, kWall));
+}
+
 TEST_CASE("a renewal keeps the token and follows the record before it") {
   DutyLease lease = Holder();
   CHECK_FALSE(
