Topic follower: a pause before all records of a new era are read

What operators would have seen: when the store comes back from an older copy, the readers of all data centres read the newest records of every topic in the same moment, and a store that changed its era at each answer was read without an end. Cause: a follower began the read at once. It now waits as after any failed read, 150 to 350 ms at random, which bounds the rate of a follower and spreads the readers.

--- a/daemon/testing/topic_pages_test.cc
+++ b/daemon/testing/topic_pages_test.cc
@@ -50,12 +50,16 @@
     for (const KeyedRecord& record : kept) Add(record.key, record.value);
     ++era_;
   }
+  void GoBackAtEachRead() { goes_back_ = true; }
+  // Pages of newest records that were read.
+  size_t snapshots() const { return snapshots_; }
   const State& state() const { return state_; }
   StoreEra era() const { return era_; }
   uint64_t end() const { return records_.size(); }
 
   void Read(const LogQuery& query, ReadCallback callback) override {
     LogPage page;
+    if (goes_back_) ++era_;
     if (query.from > records_.size()) {
       boost::asio::post(*loop_, [callback] { callback(Result::kExpired, {}); });
       return;
@@ -72,6 +76,7 @@
   }
   void ReadNewest(const LogQuery&, const std::string&,
                   NewestCallback callback) override {
+    ++snapshots_;
     NewestPage page;
     State newest;
     for (const KeyedRecord& record : records_) {
@@ -95,6 +100,8 @@
   std::vector<KeyedRecord> records_;
   State state_;
   StoreEra era_ = 1;
+  bool goes_back_ = false;
+  size_t snapshots_ = 0;
 };
 
 class Listener : public TopicFollower::Listener {
@@ -110,7 +117,9 @@
   }
   void OnRead(TimePoint) override {}
   void OnReadFailed(std::error_code) override {}
+  std::optional<milliseconds> PauseAfterFailure() override { return pause; }
 
+  std::optional<milliseconds> pause;
   State state;
   size_t records = 0;
 };
@@ -154,34 +163,44 @@
   CHECK(listener.records == before);
 }
 
-TEST_CASE("any writes in any pages end in the state of the log") {
-  for (unsigned seed = 1; seed <= 300; ++seed) {
-    CAPTURE(seed);
-    std::mt19937 random(seed);
-    boost::asio::io_context loop;
-    PagedLog log(&loop, [&] { return 1 + random() % 6; });
-    Listener listener;
-    TopicFollower follower(&loop, &log, Options(), &listener);
-    follower.cache()->SetRenewalTest(IsRenewal);
-    follower.Start();
-    REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
-    for (int step = 0; step < 60; ++step) {
-      std::string key(1, static_cast<char>('a' + random() % 4));
-      std::string content = random() % 4 == 0 ? "leaving" : "ready";
-      if (random() % 3 == 0) {
-        log.Add(key, std::nullopt);
-      } else {
-        log.Add(key, content + "/" + std::to_string(step));
-      }
-      for (size_t turns = random() % 3; turns > 0; --turns) {
-        loop.restart();
-        loop.poll_one();
-      }
+// Plays random writes, deletions and, if the store goes back at times, returns
+// in pages of one to six records.
+void PlayRandomWrites(unsigned seed, bool store_goes_back) {
+  CAPTURE(seed);
+  std::mt19937 random(seed);
+  boost::asio::io_context loop;
+  PagedLog log(&loop, [&] { return 1 + random() % 6; });
+  Listener listener;
+  listener.pause = milliseconds(0);
+  TopicFollower follower(&loop, &log, Options(), &listener);
+  follower.cache()->SetRenewalTest(IsRenewal);
+  follower.Start();
+  REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
+  for (int step = 0; step < 60; ++step) {
+    bool goes_back = store_goes_back && random() % 12 == 0;
+    if (goes_back) log.GoBack(1 + random() % 4);
+    std::string key(1, static_cast<char>('a' + random() % 4));
+    std::string content = random() % 4 == 0 ? "leaving" : "ready";
+    if (random() % 3 == 0) {
+      log.Add(key, std::nullopt);
+    } else {
+      log.Add(key, content + "/" + std::to_string(step));
+    }
+    for (size_t turns = random() % 3; turns > 0; --turns) {
+      loop.restart();
+      loop.poll_one();
     }
-    REQUIRE(RunUntil(&loop, [&] { return follower.end() == log.end(); }));
-    CHECK(listener.state == log.state());
-    CHECK(StateOf(*follower.cache()) == log.state());
   }
+  REQUIRE(RunUntil(&loop, [&] {
+    return follower.has_snapshot() && follower.era() == log.era() &&
+           follower.end() == log.end();
+  }));
+  CHECK(listener.state == log.state());
+  CHECK(StateOf(*follower.cache()) == log.state());
+}
+
+TEST_CASE("any writes in any pages end in the state of the log") {
+  for (unsigned seed = 1; seed <= 300; ++seed) PlayRandomWrites(seed, false);
 }
 
 // Guards against records that are given the offsets of others, which the box
@@ -210,35 +229,26 @@
 }
 
 TEST_CASE("any writes and returns of the store end in the state of the log") {
-  for (unsigned seed = 1; seed <= 300; ++seed) {
-    CAPTURE(seed);
-    std::mt19937 random(seed);
-    boost::asio::io_context loop;
-    PagedLog log(&loop, [&] { return 1 + random() % 6; });
-    Listener listener;
-    TopicFollower follower(&loop, &log, Options(), &listener);
-    follower.cache()->SetRenewalTest(IsRenewal);
-    follower.Start();
-    for (int step = 0; step < 60; ++step) {
-      std::string key(1, static_cast<char>('a' + random() % 4));
-      if (random() % 12 == 0) log.GoBack(1 + random() % 4);
-      if (random() % 3 == 0) {
-        log.Add(key, std::nullopt);
-      } else {
-        log.Add(key, "ready/" + std::to_string(step));
-      }
-      for (size_t turns = random() % 3; turns > 0; --turns) {
-        loop.restart();
-        loop.poll_one();
-      }
-    }
-    REQUIRE(RunUntil(&loop, [&] {
-      return follower.has_snapshot() && follower.era() == log.era() &&
-             follower.end() == log.end();
-    }));
-    CHECK(listener.state == log.state());
-    CHECK(StateOf(*follower.cache()) == log.state());
-  }
+  for (unsigned seed = 1; seed <= 300; ++seed) PlayRandomWrites(seed, true);
+}
+
+// Guards against a store that is read without a pause, by the readers of all
+// data centres at once, when it comes back.
+TEST_CASE("a store that goes back again and again is read with pauses") {
+  boost::asio::io_context loop;
+  PagedLog log(&loop, [] { return 100; });
+  log.Add("a", "ready/1");
+  Listener listener;
+  TopicFollower follower(&loop, &log, Options(), &listener);
+  follower.Start();
+  REQUIRE(RunUntil(&loop, [&] { return follower.has_snapshot(); }));
+  log.GoBackAtEachRead();
+  size_t before = log.snapshots();
+  RunUntil(
+      &loop, [] { return false; }, milliseconds(2000));
+  // One in 150 ms at most.
+  CHECK(log.snapshots() - before <= 14);
+  CHECK(log.snapshots() - before >= 3);
 }
 
 }  // namespace
--- a/daemon/topic_follower.cc
+++ b/daemon/topic_follower.cc
@@ -135,7 +135,7 @@
   era_ = std::max(era_, era);
   next_ = 0;
   has_snapshot_ = false;
-  ReadNewest("");
+  After(PauseAfterError(Result::kStaleTable));
 }
 
 milliseconds TopicFollower::PauseAfter(TimePoint as_of) const {
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -69,8 +69,8 @@
   void ReadNewest(const std::string& after_key);
   void OnNewest(std::error_code error, NewestPage page);
   void ReadLog();
-  // Reads everything again: what was read after the store's copy was made may
-  // be lost, and other records may have its offsets.
+  // Reads everything again, after a pause: what was read after the store's copy
+  // was made may be lost, and other records may have its offsets.
   void StartEra(StoreEra era);
   void OnPage(std::error_code error, const LogPage& page);
   LogQuery Query() const;
