--- a/daemon/testing/shared_log_test.cc
+++ b/daemon/testing/shared_log_test.cc
@@ -78,25 +78,30 @@
   return AskBox(loop, address, ask, bytes);
 }
 
-// A log of the second era that ends at 900; its last record is kept.
-void LoadPage(LogCache* cache) {
-  cache->LoadSnapshot({}, 899, Clock::now(), 2);
-  LogPage page;
-  page.records = {{"k", "v"}};
-  page.next = page.end = 900;
-  page.as_of = Clock::now();
-  cache->ApplyPage(page);
-}
+// A box that has read a log of the second era up to 900; it knows the last
+// record.
+struct BoxOfSecondEra {
+  BoxOfSecondEra() : server(&loop), endpoint(FreePort(&loop)) {
+    server.Share(kTopic, &cache);
+    REQUIRE_FALSE(server.Listen(endpoint));
+    cache.LoadSnapshot({}, 899, Clock::now(), 2);
+    LogPage page;
+    page.records = {{"k", "v"}};
+    page.next = page.end = 900;
+    page.as_of = Clock::now();
+    cache.ApplyPage(page);
+  }
+  std::string address() const { return AddressOf(endpoint); }
 
-// Guards against offsets of one era that are read in another one.
-TEST_CASE("boxes that read in other eras of the store are told apart") {
   boost::asio::io_context loop;
   LogCache cache;
-  LogServer server(&loop);
-  server.Share(kTopic, &cache);
-  auto endpoint = FreePort(&loop);
-  REQUIRE_FALSE(server.Listen(endpoint));
-  LoadPage(&cache);
+  LogServer server;
+  boost::asio::ip::tcp::endpoint endpoint;
+};
+
+// Guards against offsets of one era that are read in another one.
+TEST_CASE("boxes that read in other eras of the store are told apart") {
+  BoxOfSecondEra box;
   size_t bytes = 0;
   LogAsk ask;
   ask.set_topic(kTopic);
@@ -106,7 +111,7 @@
       ask.set_era(1);
       ask.set_from(from);
       TimePoint asked_at = Clock::now();
-      LogAnswer answer = AskBox(&loop, AddressOf(endpoint), ask, &bytes);
+      LogAnswer answer = AskBox(&box.loop, box.address(), ask, &bytes);
       CHECK(answer.kind() == LogAnswer::EXPIRED);
       CHECK(Clock::now() - asked_at < milliseconds(90));
     }
@@ -115,32 +120,26 @@
     ask.set_era(3);
     ask.set_from(899);
     TimePoint asked_at = Clock::now();
-    LogAnswer answer = AskBox(&loop, AddressOf(endpoint), ask, &bytes);
+    LogAnswer answer = AskBox(&box.loop, box.address(), ask, &bytes);
     CHECK(answer.kind() == LogAnswer::PAGE);
     CHECK(answer.era() == 2);
     CHECK(Clock::now() - asked_at > milliseconds(90));
   }
   SUBCASE("the asker knows none") {
     ask.set_from(899);
-    LogAnswer answer = AskBox(&loop, AddressOf(endpoint), ask, &bytes);
+    LogAnswer answer = AskBox(&box.loop, box.address(), ask, &bytes);
     CHECK(answer.kind() == LogAnswer::PAGE);
     CHECK(answer.records_size() == 1);
   }
 }
 
 TEST_CASE("what a box has read in an earlier era is too old") {
-  boost::asio::io_context loop;
-  LogCache cache;
-  LogServer server(&loop);
-  server.Share(kTopic, &cache);
-  auto endpoint = FreePort(&loop);
-  REQUIRE_FALSE(server.Listen(endpoint));
-  LoadPage(&cache);
+  BoxOfSecondEra box;
   Metrics metrics;
-  MemoryLog store(&loop);
+  MemoryLog store(&box.loop);
   store.TurnAway();
-  SharedLog log(&loop, &store, {"b", "127.0.0.1:1", 1}, 1, &metrics);
-  log.SetBoxes({{"a", AddressOf(endpoint), 2}});
+  SharedLog log(&box.loop, &store, {"b", "127.0.0.1:1", 1}, 1, &metrics);
+  log.SetBoxes({{"a", box.address(), 2}});
   struct Row {
     StoreEra era;
     uint64_t from;
@@ -159,7 +158,7 @@
     std::optional<std::error_code> answered;
     log.Read(query,
              [&](std::error_code error, const LogPage&) { answered = error; });
-    REQUIRE(RunUntil(&loop, [&] { return answered.has_value(); }));
+    REQUIRE(RunUntil(&box.loop, [&] { return answered.has_value(); }));
     CHECK(!*answered == row.is_usable);
   }
 }
