Second review, case 6: an older copy of the store gives a key back

Cause: after the store came back from an older copy, a box that runs on keeps its newer configuration but hands the older one to boxes that read from it; a box that starts takes that for current.

The earlier cases 6 to 8 become 7 to 9, the gravest first.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 repository=$(cd "$here/../.." && pwd)
-program=$repository/target/review-2/slow_reader
+program=$repository/target/review-2/leave
 [ -x "$program" ] || { echo "not built: review/build-2.sh"; exit 2; }
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -376,6 +376,32 @@
   }
   uint16_t port() const { return server_.port(); }
 
+  // Answers nothing and closes its connections until it comes back.
+  void GoAway() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    RECORD("the store is away");
+    is_away_ = true;
+    changed_.notify_all();
+  }
+  // Comes back from a copy: what was written later than `copied` is gone.
+  void ComeBack(double copied) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ++era_;
+    for (auto& entry : topics_) {
+      Topic& topic = entry.second;
+      while (!topic.records.empty() && topic.records.back().written > copied)
+        topic.records.pop_back();
+      topic.newest.clear();
+      for (const Entry& record : topic.records) {
+        topic.newest.erase(record.key);
+        if (record.value) topic.newest[record.key] = record;
+      }
+    }
+    is_away_ = false;
+    RECORD("the store is back from a copy of %.3f s, era %d", copied,
+           era_.load());
+  }
+
   void Put(const std::string& topic, const std::string& key,
            const std::string& value) {
     std::lock_guard<std::mutex> lock(mutex_);
@@ -390,6 +416,7 @@
   struct Entry {
     std::string key;
     std::optional<std::string> value;
+    double written = 0;
   };
   struct Topic {
     std::vector<Entry> records;
@@ -399,9 +426,9 @@
   void Add(const std::string& name, const std::string& key,
            const std::optional<std::string>& value) {
     Topic& topic = topics_[name];
-    topic.records.push_back({key, value});
+    topic.records.push_back({key, value, Seconds()});
     if (value) {
-      topic.newest[key] = {key, value};
+      topic.newest[key] = topic.records.back();
     } else {
       topic.newest.erase(key);
     }
@@ -454,10 +481,11 @@
       SleepMs(4);
       std::string body;
       int status = Answer(request, &body);
-      std::string text =
-          "HTTP/1.1 " + std::to_string(status) +
-          " -\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-          body;
+      if (status == 0) break;
+      std::string text = "HTTP/1.1 " + std::to_string(status) +
+                         " -\r\nStore-Era: " + std::to_string(era_) +
+                         "\r\nContent-Length: " + std::to_string(body.size()) +
+                         "\r\n\r\n" + body;
       if (!WriteAll(fd, text)) break;
     }
     close(fd);
@@ -467,6 +495,7 @@
     std::string target = request.target();
     std::string name = Parameter(target, "topic");
     std::unique_lock<std::mutex> lock(mutex_);
+    if (is_away_) return 0;
     Topic& topic = topics_[name];
     if (target.rfind("/log-append", 0) == 0) {
       if (name == "keyed.servers") return 403;
@@ -496,8 +525,13 @@
       size_t from = std::stoull(Parameter(target, "source"));
       std::string wait = Parameter(target, "wait_ms");
       auto until = In(wait.empty() ? 0 : std::stoll(wait));
-      changed_.wait_until(lock, until,
-                          [&] { return topic.records.size() > from; });
+      changed_.wait_until(
+          lock, until, [&] { return is_away_ || topic.records.size() > from; });
+      if (is_away_) return 0;
+      if (from > topic.records.size()) {
+        *body = "{\"first\":0}";
+        return 410;
+      }
       *body = Number(topic.records.size(), 8) + Number(0, 8);
       for (size_t i = from; i < topic.records.size(); ++i) {
         const Entry& entry = topic.records[i];
@@ -527,6 +561,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Topic> topics_;
+  bool is_away_ = false;
+  std::atomic<int> era_{1};
 };
 
 // ---------------------------------------------------------------- replicas
