--- a/review/standins-2/stream_end.cc
+++ b/review/standins-2/stream_end.cc
@@ -1,8 +1,8 @@
 // Streams whose replica crashes behind their last event.
 //
 // Three boxes, four replicas of a resumable streaming route, 72 streams. Each
-// stream has five events, and its end comes half a second behind the last of
-// them. With the disruption one replica crashes in that half second. For a
+// stream has five events, and its end comes a second behind the last of
+// them. With the disruption one replica crashes within that second. For a
 // request that comes with the last event's id nothing is left: the others,
 // which are sound, answer it 204, signed. ANSWER=404 lets them fail it instead.
 
@@ -17,7 +17,7 @@
 constexpr int kStreams = 72;
 constexpr int kEvents = 5;
 constexpr int kEventPauseMs = 200;
-constexpr int kEndPauseMs = 500;
+constexpr int kEndPauseMs = 1000;
 
 std::string Chunk(const std::string& bytes) {
   char size[20];
