--- a/review/11/run.py
+++ b/review/7/run.py
@@ -1,8 +1,9 @@
 """A late second refusal is taken for the answer of a later send.
 
-Two replicas of an application. At times both are full for a moment and refuse
-an order. With trouble, replica a sends its refusal a second time, late: in the
-place where the next answer on that connection is expected.
+Two replicas of a service. At times both are full for a moment and refuse a
+request. With trouble, replica a sends its refusal a second time, late: in the
+place where the next answer on that connection is expected. Half of the requests
+are unsafe, half are streams that may not be resumed.
 """
 
 import asyncio
@@ -10,7 +11,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
+sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 import world as w  # noqa: E402
 
 WINDOWS = 8
@@ -23,10 +24,12 @@
 WORK = 0.03
 CONFIG = {
     "version": 3,
-    "routes": [{"name": "orders", "host": "shop.example",
-                "path_prefix": "/orders/", "kind": "unsafe",
-                "timeout_ms": 1500, "target_latency_ms": 150, "priority": 2,
-                "service": "app", "max_attempts": 3, "public": False}],
+    "routes": [dict(name=name, host="shop.example",
+                    path_prefix="/%s/" % name, kind=kind, timeout_ms=1500,
+                    target_latency_ms=150, priority=2, service="app",
+                    max_attempts=3, public=False)
+               for name, kind in (("orders", "unsafe"),
+                                  ("letters", "streaming"))],
     "services": [{"name": "app", "health_path": "/health", "max_conns": 100,
                   "protocol": "h1", "tls": False}],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
@@ -68,8 +71,16 @@
         self.runs.setdefault(name, []).append(replica.id)
         replica.record.write("replica %s runs %s" % (replica.id, name))
         await asyncio.sleep(WORK)
-        writer.write(w.response("200 OK", replica.head(request, True),
-                                b"order taken"))
+        if "/letters/" not in request.first:
+            writer.write(w.response("200 OK", replica.head(request, True),
+                                    b"order taken"))
+            return
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked"]
+        head += ["%s: %s" % item for item in replica.head(request, True)]
+        event = b"id: 1\ndata: dear customer\n\n"
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode()
+                     + b"%x\r\n%s\r\n0\r\n\r\n" % (len(event), event))
 
 
 async def play(world):
@@ -82,11 +93,14 @@
 
     async def order(number):
         name = "order-%04d" % number
+        # Each box gets both kinds in turn.
+        path = ("orders", "letters")[number // len(world.boxes) % 2]
         box = world.boxes[number % len(world.boxes)]
-        world.record.write("client sends %s to %s" % (name, box.name))
+        world.record.write("client sends %s (%s) to %s"
+                           % (name, path, box.name))
         try:
             status, fields, _ = await w.call(
-                box.front, "POST /orders/new HTTP/1.1",
+                box.front, "POST /%s/new HTTP/1.1" % path,
                 {"Host": "shop.example", "Leverwick-Request-Id": name,
                  "Leverwick-Deadline-Ms": "1500",
                  "Authorization": "Bearer key-1"}, b"x" * 600, 3)
@@ -96,7 +110,7 @@
             return
         world.record.write("client gets %d for %s" % (status, name))
         if status in (408, 421, 429, 503):
-            refusals[name] = status
+            refusals[name] = (path, status)
 
     number = 0
     orders = []
@@ -116,13 +130,13 @@
     await asyncio.gather(*orders)
     broken = [name for name in refusals if name in replicas.runs]
     for name in broken:
-        world.record.write("REFUSED: %s was answered %d, yet it ran at %s"
-                           % (name, refusals[name], replicas.runs[name]))
+        world.record.write("REFUSED: %s (%s) was answered %d, yet it ran at %s"
+                           % (name, *refusals[name], replicas.runs[name]))
     twice = [name for name, at in replicas.runs.items() if len(at) > 1]
     for name in twice:
         world.record.write("TWICE: %s ran at %s" % (name, replicas.runs[name]))
     world.record.write(
-        "%d orders, %d refused, %d of these ran; %d ran twice; replica a sent "
+        "%d requests, %d refused, %d of these ran; %d ran twice; replica a sent "
         "%d late second answers beside %d answers"
         % (number, len(refusals), len(broken), len(twice), replicas.spoilt,
            replicas.answers))
--- a/review/standins-3/world.py
+++ b/review/standins-2/world.py
@@ -342,8 +342,13 @@
         return int(head[0].split(" ")[1]), head[1]
 
     async def read_body(self, headers):
-        return await self.reader.readexactly(
-            int(headers.get("content-length", "0")))
+        if headers.get("transfer-encoding") != "chunked":
+            return await self.reader.readexactly(
+                int(headers.get("content-length", "0")))
+        body = b""
+        while chunk := await read_chunk(self.reader):
+            body += chunk
+        return body
 
     def close(self):
         self.writer.close()
