HTTP server: requests and answers that a server holds have a bound in sum

What callers saw: a crowd of clients with large bodies, whole or stopped short, in one piece or in chunks of any size, made the process take 103 to 275 MB of 80 allowed; on a machine of that size it ends, and all callers with it.

Cause: each request had a limit, their sum had none. Nor had bytes that callers send ahead, nor heads of many fields, which take twenty times their bytes.

Now a request reserves memory before it takes it (leverwick/request_memory): a head with its fields, what a body's string has allocated or its announced length, bytes ahead. What finds none is answered 503 before anything is handed on. Requests that have been silent for longest give way, large ones only to small ones until they stall; a quarter is for requests of up to 64 KB, which ordinary ones are; one large request is always let in. Answers that wait for callers are counted with streams and have a bound from the settings too.

The connection and the exchange have files of their own.

--- a/daemon/log_server.h
+++ b/daemon/log_server.h
@@ -55,6 +55,10 @@
     handlers_[path] = std::move(handler);
   }
   void SetLimits(const HttpServerLimits& limits) { server_.SetLimits(limits); }
+  void SetCapacity(const HttpServerCapacity& capacity) {
+    server_.SetCapacity(capacity);
+  }
+  const AsyncHttpServer& server() const { return server_; }
   std::error_code Listen(const boost::asio::ip::tcp::endpoint& address);
 
   size_t held_asks() const { return held_.size(); }
--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -33,7 +33,9 @@
              [this](const auto& exchange) { AnswerReady(exchange.get()); }),
       metrics_(loop,
                [this](const auto& exchange) { AnswerMetrics(exchange.get()); }),
-      stop_timer_(*loop) {}
+      stop_timer_(*loop) {
+  callers_.SetCapacity(options_.capacity);
+}
 
 std::error_code RelayServer::ListenAt(AsyncHttpServer* server,
                                       const std::string& address) {
--- a/daemon/relay_server.h
+++ b/daemon/relay_server.h
@@ -25,9 +25,10 @@
 namespace leverwick {
 
 struct RelayServerOptions {
-  std::string callers;  // ip:port
-  std::string ready;    // ip:port, or empty
-  std::string metrics;  // ip:port, or empty
+  std::string callers;          // ip:port
+  std::string ready;            // ip:port, or empty
+  std::string metrics;          // ip:port, or empty
+  HttpServerCapacity capacity;  // for callers
   milliseconds stop_bound{8000};
   // Of a stop: requests that come later are refused, since a stream that
   // begins after this may not end before the bound.
@@ -46,6 +47,8 @@
 
   // Callers' limits follow the configuration in force.
   void SetLimits(const CallerLimits& limits);
+  // Of the callers' address.
+  const AsyncHttpServer& callers() const { return callers_; }
 
   // Begins a planned stop; `done` gets the number of requests that were cut.
   void Stop(std::function<void(int cut)> done);
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -8,10 +8,16 @@
 //
 // A connection is at rest, and closes, only when the last byte of its answer
 // has left the process. A caller that takes no byte for the idle time is given
-// up. Answers that wait for slow callers take so much memory in all; beyond
-// that, the one that has waited for longest is broken off.
+// up.
 //
-//   AsyncHttpServer server(&loop, limits, handler);
+// What a server holds is bounded (HttpServerCapacity). Requests that find no
+// memory are answered 503 before they are handed on; those that have been
+// silent for longest give way first. Beyond the bound on answers, the whole
+// answer that has waited for longest is broken off, and then the stream with
+// the most bytes. New connections take the places of those that have sent no
+// whole request, then of those that have rested for longest.
+//
+//   AsyncHttpServer server(&loop, handler);
 //   std::error_code error = server.Listen(address);
 //   server.Drain();  // a planned stop begins
 
@@ -22,16 +28,18 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
-#include <string_view>
 #include <system_error>
+#include <unordered_map>
 #include <vector>
 
+#include "leverwick/request_memory.h"
 #include "leverwick/time.h"
-#include "net/http_codec.h"
+#include "net/server_exchange.h"
 #include "net/tcp_connection.h"
 
 namespace leverwick {
@@ -45,60 +53,21 @@
 
 class ServerConnection;
 
-// One request and its answer. Exactly one of Answer, StartStream or BreakOff
-// is called first. Outlives the connection safely: calls then do nothing.
-class ServerExchange {
- public:
-  ServerExchange(std::weak_ptr<ServerConnection> connection, HttpHead head,
-                 std::string body, TimePoint received)
-      : connection_(std::move(connection)),
-        head_(std::move(head)),
-        body_(std::move(body)),
-        received_(received) {}
-
-  const HttpHead& head() const { return head_; }
-  const std::string& body() const { return body_; }
-  TimePoint received() const { return received_; }
-
-  // Replaces the request by the one that it encloses.
-  void Unwrap(HttpHead head, std::string body) {
-    head_ = std::move(head);
-    body_ = std::move(body);
-    is_unwrapped_ = true;
-  }
-  bool is_unwrapped() const { return is_unwrapped_; }
-
-  // Called at most once, when the caller closes before the answer's end.
-  void OnLeft(std::function<void()> callback) { left_ = std::move(callback); }
-  // Called when a stream's written parts have all left this box.
-  void OnDrained(std::function<void()> callback) {
-    drained_ = std::move(callback);
-  }
-
-  // A whole answer; the framing fields are added.
-  void Answer(HttpHead head, const std::string& body);
-
-  void StartStream(HttpHead head);
-  void Write(std::string_view bytes);
-  void EndStream();
-
-  // Ends the connection, so that the answer can't be taken for whole.
-  void BreakOff();
-
-  size_t pending_bytes() const;
-
- private:
-  friend class ServerConnection;
+// What a server may take of its process.
+struct HttpServerCapacity {
+  // For requests that are read or served (leverwick/request_memory.h).
+  size_t request_bytes = 32UL << 20;
+  // For answers that wait for callers.
+  size_t answer_bytes = 32UL << 20;
+  size_t connections = 16384;
+};
 
-  std::weak_ptr<ServerConnection> connection_;
-  HttpHead head_;
-  std::string body_;
-  TimePoint received_;
-  std::function<void()> left_;
-  std::function<void()> drained_;
-  bool started_ = false;
-  bool chunked_ = false;
-  bool is_unwrapped_ = false;
+// What a server has done to stay within its capacity.
+struct HttpServerCounts {
+  uint64_t refused_requests = 0;     // for want of memory
+  uint64_t broken_answers = 0;       // whose callers were too slow
+  uint64_t closed_connections = 0;   // for new ones
+  uint64_t refused_connections = 0;  // none could be closed for them
 };
 
 class AsyncHttpServer {
@@ -112,6 +81,7 @@
 
   // May change while connections are open; holds for requests read later.
   void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  void SetCapacity(const HttpServerCapacity& capacity);
 
   // A planned stop: answers say that the connection closes, and connections
   // are closed as they come to rest. New ones are still served.
@@ -124,26 +94,55 @@
   size_t undelivered() const { return delivering_.size(); }
   // Requests that were handed to the handler and have no whole answer.
   size_t open_requests() const { return open_requests_; }
+  // Bytes that are reserved for requests, and those of answers that wait.
+  size_t request_bytes() const { return memory_->bytes(); }
+  size_t pending_bytes() const { return *pending_bytes_; }
+  const HttpServerCounts& counts() const { return counts_; }
 
  private:
   friend class ServerConnection;
 
   void Accept();
-  // Closes connections that have been at rest longest; false if there are none.
+  void Take(TcpConnection::Socket socket);
+  // Closes connections for new ones; false if there is none to close.
   bool MakeRoom();
+  // Closes the oldest of the connections that only wait for their callers to
+  // close; false if there is none.
+  bool EndClosing();
+  bool IsFull();
+
+  // Reserves memory for a request; those that give way are refused.
+  bool Reserve(RequestMemory::Ticket ticket, size_t bytes);
   // Breaks off answers that wait for slow callers, down to the bound on their
   // memory.
-  void BoundUndelivered();
+  void BoundPending();
+  // Gives up the stream with the most bytes.
+  void GiveUpStream();
+
   void RecordDelivered(ServerConnection* connection);
+  void RecordClosing(const std::shared_ptr<ServerConnection>& connection,
+                     const std::shared_ptr<TcpConnection>& tcp);
+  // Logs and counts; the lines come at most once in a while.
+  void TellNoMemory();
+  void TellSlowCaller(const char* why, size_t bytes);
+  void TellFull();
+  bool MayLog();
 
   boost::asio::io_context* const loop_;
   const Handler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_pause_;
   HttpServerLimits limits_;
+  HttpServerCapacity capacity_;
+  const std::shared_ptr<RequestMemory> memory_;
+  std::unordered_map<RequestMemory::Ticket, ServerConnection*> reading_;
+  const std::shared_ptr<size_t> pending_bytes_;  // of all connections
   std::set<std::shared_ptr<ServerConnection>> connections_;
   std::vector<ServerConnection*> delivering_;  // in the order of their answers
+  std::deque<std::weak_ptr<TcpConnection>> closing_;
   size_t open_requests_ = 0;
+  HttpServerCounts counts_;
+  TimePoint logged_at_{};
   bool draining_ = false;
 };
 
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -102,6 +102,19 @@
   fields.emplace_back(std::string(name), std::move(value));
 }
 
+size_t HttpHead::memory_bytes() const {
+  // Short strings need no memory of their own.
+  static const size_t kInPlace = std::string().capacity();
+  auto own = [](const std::string& text) {
+    return text.capacity() > kInPlace ? text.capacity() + 1 : 0;
+  };
+  size_t bytes = own(method) + own(target) +
+                 fields.capacity() * sizeof(decltype(fields)::value_type);
+  for (const auto& field : fields)
+    bytes += own(field.first) + own(field.second);
+  return bytes;
+}
+
 void RemoveHopFields(HttpHead* head) {
   for (const std::string& named : Tokens(head->Field("connection"))) {
     head->Remove(named);
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -39,6 +39,8 @@
   size_t Count(std::string_view name) const;
   void Remove(std::string_view name);
   void Set(std::string_view name, std::string value);
+  // What the head takes of the process's memory, about.
+  size_t memory_bytes() const;
 };
 
 bool SameName(std::string_view left, std::string_view right);
@@ -87,6 +89,9 @@
   // Limits of messages that begin after the next Reset.
   void SetLimits(const Limits& limits) { limits_ = limits; }
 
+  // Memory of bytes that can't be read before more have come.
+  size_t held_bytes() const { return held_.capacity(); }
+
   bool any_read() const;  // a byte of the message was seen
   bool done() const;
   Error error() const { return error_; }
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -106,27 +106,46 @@
   AwaitBytes();
 }
 
+void TcpConnection::CountPendingIn(std::shared_ptr<size_t> sum) {
+  size_t pending = pending_bytes_;
+  SetPending(0);
+  pending_sum_ = std::move(sum);
+  SetPending(pending);
+}
+
+void TcpConnection::SetPending(size_t bytes) {
+  if (pending_sum_) *pending_sum_ = *pending_sum_ - pending_bytes_ + bytes;
+  pending_bytes_ = bytes;
+}
+
 void TcpConnection::Write(std::string bytes) {
-  if (!socket_.is_open() || bytes.empty()) return;
-  pending_bytes_ += bytes.size();
-  queue_.push_back(std::move(bytes));
+  Queue({std::move(bytes), nullptr});
+}
+
+void TcpConnection::Write(std::shared_ptr<const std::string> bytes) {
+  Queue({"", std::move(bytes)});
+}
+
+void TcpConnection::Queue(Piece piece) {
+  size_t size = piece.bytes().size();
+  if (!socket_.is_open() || size == 0) return;
+  SetPending(pending_bytes_ + size);
+  queue_.push_back(std::move(piece));
   if (!awaiting_writable_) WriteSome();
 }
 
 void TcpConnection::WriteSome() {
   while (!queue_.empty()) {
-    const std::string& front = queue_.front();
+    std::string_view rest = queue_.front().bytes().substr(front_offset_);
     boost::system::error_code error;
-    size_t size =
-        socket_.write_some(boost::asio::buffer(front.data() + front_offset_,
-                                               front.size() - front_offset_),
-                           error);
+    size_t size = socket_.write_some(
+        boost::asio::buffer(rest.data(), rest.size()), error);
     if (error == boost::asio::error::would_block) return OnWritable();
     if (error) return Fail(error);
     any_sent_ = true;
-    pending_bytes_ -= size;
+    SetPending(pending_bytes_ - size);
     front_offset_ += size;
-    if (front_offset_ < front.size()) continue;
+    if (size < rest.size()) continue;
     queue_.pop_front();
     front_offset_ = 0;
   }
@@ -165,7 +184,7 @@
   boost::system::error_code ignored;  // nothing is left to tell of a close
   socket_.close(ignored);
   queue_.clear();
-  pending_bytes_ = 0;
+  SetPending(0);
   boost::asio::post(socket_.get_executor(), [self = shared_from_this(), why] {
     Observer* observer = self->observer_;
     self->observer_ = nullptr;
@@ -184,7 +203,7 @@
   boost::system::error_code ignored;  // nothing is left to tell of a close
   if (socket_.is_open()) socket_.close(ignored);
   queue_.clear();
-  pending_bytes_ = 0;
+  SetPending(0);
 }
 
 void TcpConnection::CloseWithReset() {
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -41,11 +41,16 @@
   };
 
   explicit TcpConnection(Socket socket) : socket_(std::move(socket)) {}
+  ~TcpConnection() { SetPending(0); }
+  TcpConnection(const TcpConnection&) = delete;
+  TcpConnection& operator=(const TcpConnection&) = delete;
 
   // Begins to read; `observer` must outlive the connection or its Close.
   void Start(Observer* observer);
 
   void Write(std::string bytes);
+  // The same without a copy; the string may be in use elsewhere too.
+  void Write(std::shared_ptr<const std::string> bytes);
 
   // Lets the queued bytes leave, then closes; the observer is not told.
   void CloseWhenDrained();
@@ -62,8 +67,19 @@
   bool any_sent() const { return any_sent_; }
   void ForgetSent() { any_sent_ = false; }
   size_t pending_bytes() const { return pending_bytes_; }
+  // Adds the pending bytes of this connection to a sum over several.
+  void CountPendingIn(std::shared_ptr<size_t> sum);
 
  private:
+  // Bytes that are queued; owned here unless `shared` is set.
+  struct Piece {
+    std::string own;
+    std::shared_ptr<const std::string> shared;
+    std::string_view bytes() const { return shared ? *shared : own; }
+  };
+
+  void Queue(Piece piece);
+  void SetPending(size_t bytes);
   void AwaitBytes();
   void ReadBytes();
   void WriteSome();
@@ -73,9 +89,10 @@
 
   Socket socket_;
   Observer* observer_ = nullptr;
-  std::deque<std::string> queue_;
-  size_t front_offset_ = 0;  // bytes of the first string that were written
+  std::deque<Piece> queue_;
+  size_t front_offset_ = 0;  // bytes of the first piece that were written
   size_t pending_bytes_ = 0;
+  std::shared_ptr<size_t> pending_sum_;  // may be null
   bool any_sent_ = false;
   bool awaiting_writable_ = false;
   bool awaiting_bytes_ = false;
