Relay: the addresses for readiness and metrics take short requests only

What callers saw: bodies of 4 MB at these addresses were read and kept, 190 MB of 80 allowed.

Cause: both had the limits of callers' requests, though nobody sends a body.

Now they take heads of 16 KB, bodies of 4 KB, 1 MB in all, and 32 connections.

--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -20,6 +20,23 @@
 // How often a stopping box looks whether it is quiet.
 constexpr milliseconds kQuietInterval{50};
 
+// The addresses for readiness and metrics take short requests only, of the
+// platform and a few readers.
+HttpServerLimits ShortLimits() {
+  HttpServerLimits limits;
+  limits.head_bytes = 16UL * 1024;
+  limits.body_bytes = 4UL * 1024;
+  return limits;
+}
+
+HttpServerCapacity ShortCapacity() {
+  HttpServerCapacity capacity;
+  capacity.request_bytes = 1UL << 20;
+  capacity.answer_bytes = 4UL << 20;
+  capacity.connections = 32;
+  return capacity;
+}
+
 }  // namespace
 
 RelayServer::RelayServer(boost::asio::io_context* loop, Relay* relay,
@@ -35,6 +52,10 @@
                [this](const auto& exchange) { AnswerMetrics(exchange.get()); }),
       stop_timer_(*loop) {
   callers_.SetCapacity(options_.capacity);
+  for (AsyncHttpServer* server : {&ready_, &metrics_}) {
+    server->SetLimits(ShortLimits());
+    server->SetCapacity(ShortCapacity());
+  }
 }
 
 std::error_code RelayServer::ListenAt(AsyncHttpServer* server,
