Relay process: memory that is freed goes back to the kernel

By reading, not measured by itself: after a crowd of large bodies has left, the process may keep some of their memory, and what comes next is added to it.

glibc raises the size from which blocks are mapped on their own to the largest that was ever freed, here 4 MB; such blocks then come from the heap, whose freed parts between live ones stay. Both parameters are now fixed, which also ends that adjustment.

--- a/app/leverwickd.cc
+++ b/app/leverwickd.cc
@@ -22,6 +22,7 @@
 #include "net/log.h"
 #include "net/settings.h"
 #include "platform/front.h"
+#include "process/freed_memory.h"
 #include "process/stop_signal.h"
 
 namespace {
@@ -140,6 +141,7 @@
     return 0;
   }
   if (settings.platform().kind() != "keyed_store") return Serve(settings);
+  leverwick::ReturnFreedMemory();
   signal(SIGPIPE, SIG_IGN);
   leverwick::StartLogging(settings.log());
   return RelayProcess(settings, options.config).Run();
