Relay: endpoints and boxes are sent the caller's body itself, not a copy

Cause: a request was one string, so its body was copied behind each head.

Now a request is a head and a body that may be in use elsewhere; the body's memory stays reserved until the last user has let go. Bodies below 16 KB are still sent with their head in one call. The message to another box ends with the body's field, which is sent from the caller's body; its encoding is the same. Whole answers are moved to the connection instead of copied.

--- a/daemon/forward_message.cc
+++ b/daemon/forward_message.cc
@@ -19,6 +19,17 @@
     {Side::kBaseline, ForwardedRequest::BASELINE},
     {Side::kTarget, ForwardedRequest::TARGET}};
 
+// The encoding of Protocol Buffers, for a field behind the other ones.
+constexpr uint64_t kLengthDelimited = 2;
+
+void AppendVarint(uint64_t number, std::string* text) {
+  constexpr uint64_t kMore = 0x80;
+  for (; number >= kMore; number >>= 7) {
+    text->push_back(static_cast<char>(number | kMore));
+  }
+  text->push_back(static_cast<char>(number));
+}
+
 ForwardedRequest::Side EncodeSide(Side side) {
   auto found = std::find_if(std::begin(kSides), std::end(kSides),
                             [side](auto entry) { return entry.first == side; });
@@ -36,6 +47,11 @@
 
 std::string EncodeForward(const HttpHead& head, const std::string& body,
                           const ForwardOrigin& origin) {
+  return EncodeForwardStart(head, body.size(), origin) + body;
+}
+
+std::string EncodeForwardStart(const HttpHead& head, size_t body_bytes,
+                               const ForwardOrigin& origin) {
   ForwardedRequest message;
   message.set_box(origin.box);
   message.set_method(head.method);
@@ -45,7 +61,6 @@
     field->set_name(name);
     field->set_value(value);
   }
-  message.set_body(body);
   message.set_has_length(head.has_length);
   message.set_time_left_ms(
       static_cast<uint32_t>(std::max<int64_t>(0, origin.time_left.count())));
@@ -53,7 +68,11 @@
   message.set_max_attempts(static_cast<uint32_t>(origin.max_attempts));
   message.set_side(EncodeSide(origin.side));
   message.set_last_event_id(origin.last_event_id);
-  return message.SerializeAsString();
+  std::string text = message.SerializeAsString();
+  AppendVarint(ForwardedRequest::kBodyFieldNumber << 3 | kLengthDelimited,
+               &text);
+  AppendVarint(body_bytes, &text);
+  return text;
 }
 
 std::optional<ForwardOrigin> DecodeForward(const std::string& message,
--- a/daemon/forward_message.h
+++ b/daemon/forward_message.h
@@ -32,7 +32,11 @@
   std::string last_event_id;  // a stream goes on behind this event
 };
 
-// Returns the body of the message.
+// Returns the message for a request whose body has so many bytes, up to the
+// body itself, which follows as it is.
+std::string EncodeForwardStart(const HttpHead& head, size_t body_bytes,
+                               const ForwardOrigin& origin);
+// Returns the whole message.
 std::string EncodeForward(const HttpHead& head, const std::string& body,
                           const ForwardOrigin& origin);
 // Returns nothing if the message can't be read.
--- a/daemon/forwarded_call.cc
+++ b/daemon/forwarded_call.cc
@@ -9,8 +9,8 @@
 namespace leverwick {
 
 void ForwardedCall::Start(HttpConnections* connections,
-                          const std::string& address, std::string text) {
-  call_ = connections->Send(address, std::move(text), this);
+                          const std::string& address, ClientRequest request) {
+  call_ = connections->Send(address, std::move(request), this);
 }
 
 void ForwardedCall::Abort() {
--- a/daemon/forwarded_call.h
+++ b/daemon/forwarded_call.h
@@ -1,7 +1,7 @@
 // A request on its way through another box, and the response to it.
 //
 //   auto call = std::make_shared<ForwardedCall>(dialect, request_id,
-//   &listener); call->Start(&connections, address, text); call->Abort();  //
+//   &listener); call->Start(&connections, address, request); call->Abort();  //
 //   gives it up; the listener hears no more
 
 #ifndef DAEMON_FORWARDED_CALL_H_
@@ -44,9 +44,8 @@
         request_id_(std::move(request_id)),
         listener_(listener) {}
 
-  // `text` is the whole message to the other box.
   void Start(HttpConnections* connections, const std::string& address,
-             std::string text);
+             ClientRequest request);
   void Abort();
   void PauseReading();
   void ResumeReading();
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -27,6 +27,8 @@
 // When to come back if the time of a request at the endpoints is not known: the
 // pool drains some requests in this time.
 constexpr milliseconds kComeBackAfter{250};
+// A body that is shorter is sent with its head in one call, from a copy.
+constexpr size_t kShortBody = 16UL * 1024;
 
 int MaxAttempts(const ServiceRoute& route, const ForwardOrigin& origin) {
   int most = std::max(1, route.max_attempts);
@@ -278,7 +280,7 @@
       relay_->connections_.Send(endpoint.address, RequestFor(endpoint), this);
 }
 
-std::string RelayedRequest::RequestFor(const DirectoryEntry& endpoint) const {
+ClientRequest RelayedRequest::RequestFor(const DirectoryEntry& endpoint) const {
   EndpointOrder order =
       terms_.OrderFor(endpoint.id, model_, TimeLeft(Clock::now()));
   order.last_event_id = LastEventId();
@@ -286,14 +288,15 @@
   const std::string& body = exchange_->body();
   bool has_body = !body.empty() || exchange_->head().has_length;
   if (has_body) head.Set("Content-Length", std::to_string(body.size()));
-  return RequestText(head) + body;
+  if (body.size() < kShortBody) return {RequestText(head) + body, nullptr};
+  return {RequestText(head), exchange_->shared_body()};
 }
 
-void RelayedRequest::PassAnswer(HttpHead head, const std::string& body) {
+void RelayedRequest::PassAnswer(HttpHead head, std::string body) {
   RemoveHopFields(&head);
   RemoveForwardResult(&head);
   answer_status_ = head.status;
-  exchange_->Answer(std::move(head), body);
+  exchange_->Answer(std::move(head), std::move(body));
   Finish(kAnswered);
 }
 
@@ -352,7 +355,7 @@
 }
 
 void RelayedRequest::AnswerFailure(Result own_result) {
-  if (failure_) return PassAnswer(failure_->first, failure_->second);
+  if (failure_) return PassAnswer(failure_->first, std::move(failure_->second));
   AnswerOwn(own_result);
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -105,7 +105,7 @@
   EndpointCriteria Wanted(size_t model);
   std::string ChooseEndpoint(size_t model);
   void SendTo(const DirectoryEntry& endpoint);
-  std::string RequestFor(const DirectoryEntry& endpoint) const;
+  ClientRequest RequestFor(const DirectoryEntry& endpoint) const;
   // The id of the event after which a stream is resumed. Empty: the stream
   // starts at its beginning.
   std::string LastEventId() const {
@@ -172,7 +172,7 @@
   // Records the duration of an attempt that was given up before its response
   // was complete.
   void TimeUnended();
-  void PassAnswer(HttpHead head, const std::string& body);
+  void PassAnswer(HttpHead head, std::string body);
   void AnswerNotRun(Result result);
   // When a caller that was refused for want of room should come back.
   // `time_until_room`: as a granter told; empty: as this box expects it.
--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -241,7 +241,8 @@
     relay_->watch_.Answered(Watched(), true, Clock::now() - try_->sent_at);
     failed_on_target_ = try_->version == relay_->rollouts_.TargetFor(service_);
     failure_.reset();
-    if (!PromisesNotRun(answer.status)) failure_ = {try_->head, try_->body};
+    if (!PromisesNotRun(answer.status))
+      failure_ = {try_->head, std::move(try_->body)};
     return EndTry(AttemptOutcome::kFailed);
   }
   if (answer.succeeded() && !answer.signed_whole) {
@@ -253,7 +254,7 @@
   if (try_->had_free_place)
     relay_->room_.RecordResponse(service_, now - try_->sent_at, now);
   relay_->watch_.Answered(Watched(), false, now - try_->sent_at);
-  PassAnswer(try_->head, try_->body);
+  PassAnswer(try_->head, std::move(try_->body));
 }
 
 void RelayedRequest::OnCallFailed(const ClientCall::Failure& failure) {
--- a/daemon/relayed_request_forward.cc
+++ b/daemon/relayed_request_forward.cc
@@ -62,8 +62,10 @@
       peer->name, now,
       std::make_shared<ForwardedCall>(relay_->dialect_, request_.id, listener)};
   TellForward();
-  std::string message = EncodeForward(exchange_->head(), exchange_->body(),
-                                      OriginFor(max_attempts));
+  ForwardMessage message;
+  message.start = EncodeForwardStart(
+      exchange_->head(), exchange_->body().size(), OriginFor(max_attempts));
+  message.body = exchange_->shared_body();
   relay_->forwarder_.Send(*peer, message, forward_->call.get());
   return true;
 }
--- a/daemon/request_forwarder.cc
+++ b/daemon/request_forwarder.cc
@@ -31,15 +31,18 @@
   return targets_.Pick(tried, {first, second}, now);
 }
 
-void RequestForwarder::Send(const ForwardPeer& peer, const std::string& message,
+void RequestForwarder::Send(const ForwardPeer& peer,
+                            const ForwardMessage& message,
                             ForwardedCall* call) {
   HttpHead head;
   head.method = "POST";
   head.target = kForwardPath;
   head.Set("Host", peer.address);
-  head.Set("Content-Length", std::to_string(message.size()));
+  size_t size = message.start.size() + message.body->size();
+  head.Set("Content-Length", std::to_string(size));
   targets_.RecordStart(peer.name, Clock::now());
-  call->Start(&connections_, peer.address, RequestText(head) + message);
+  call->Start(&connections_, peer.address,
+              {RequestText(head) + message.start, message.body});
 }
 
 void RequestForwarder::RecordEnd(const std::string& peer,
--- a/daemon/request_forwarder.h
+++ b/daemon/request_forwarder.h
@@ -11,6 +11,7 @@
 #define DAEMON_REQUEST_FORWARDER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
@@ -25,6 +26,12 @@
 
 namespace leverwick {
 
+// An encoded request (EncodeForwardStart) and the body that follows.
+struct ForwardMessage {
+  std::string start;
+  std::shared_ptr<const std::string> body;
+};
+
 // Belongs to the thread that runs its event loop.
 class RequestForwarder {
  public:
@@ -40,7 +47,7 @@
   // SetBoxes.
   const ForwardPeer* Pick(const std::set<std::string>& tried, TimePoint now);
   // Sends the message, and counts it as in flight there until RecordEnd.
-  void Send(const ForwardPeer& peer, const std::string& message,
+  void Send(const ForwardPeer& peer, const ForwardMessage& message,
             ForwardedCall* call);
   void RecordEnd(const std::string& peer, ForwardOutcome outcome,
                  TimePoint now);
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -57,7 +57,9 @@
     ++calls_;
     tcp_->ForgetSent();
     tcp_->ResumeReading();
-    tcp_->Write(std::move(call_->request_));
+    ClientRequest request = std::move(call_->request_);
+    tcp_->Write(std::move(request.head));
+    if (request.body) tcp_->Write(std::move(request.body));
   }
 
   void Close() {
@@ -214,7 +216,7 @@
 }
 
 std::shared_ptr<ClientCall> HttpConnections::Send(
-    const std::string& address, std::string request,
+    const std::string& address, ClientRequest request,
     ClientCall::Observer* observer) {
   auto call = std::make_shared<ClientCall>();
   call->request_ = std::move(request);
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
 #include "leverwick/time.h"
 #include "net/http_codec.h"
@@ -31,6 +32,13 @@
 
 class ClientConnection;
 
+// A whole message: its head with the blank line, and its body, which may be in
+// use elsewhere too. Null: none, or it stands behind the head.
+struct ClientRequest {
+  std::string head;
+  std::shared_ptr<const std::string> body;
+};
+
 // One request on its way to a server and the answer to it.
 class ClientCall {
  public:
@@ -74,7 +82,7 @@
   friend class HttpConnections;
   friend class ClientConnection;
 
-  std::string request_;
+  ClientRequest request_;
   Observer* observer_ = nullptr;
   std::shared_ptr<ClientConnection> connection_;
   bool aborted_ = false;
@@ -95,11 +103,16 @@
                   const HttpConnectionsOptions& options)
       : loop_(loop), options_(options) {}
 
-  // `request` is the whole message. The observer is called from the loop,
-  // never from inside Send.
+  // The observer is called from the loop, never from inside Send.
   std::shared_ptr<ClientCall> Send(const std::string& address,
-                                   std::string request,
+                                   ClientRequest request,
                                    ClientCall::Observer* observer);
+  // The same; `request` is the whole message.
+  std::shared_ptr<ClientCall> Send(const std::string& address,
+                                   std::string request,
+                                   ClientCall::Observer* observer) {
+    return Send(address, ClientRequest{std::move(request), nullptr}, observer);
+  }
 
   // Called when the other side closes a connection at rest.
   void OnRestClosed(std::function<void(const std::string& address)> callback) {
