Relay: whole answers that are read from endpoints have a bound in sum

Only answers of unknown length had one. An answer with a length was read whole however many others were, so callers who ask for large answers could fill a box before its bound on waiting answers counts.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -53,6 +53,7 @@
       demand_(Clock::now()),
       poison_(options.life),
       poison_parts_(options.life),
+      answer_reads_(options.answer_bytes),
       random_(std::random_device{}()),
       sampler_(kLinesPerSecond) {
   ends_.OnEnded([this](const EndpointEnd& end) { OnEndpointEnd(end); });
@@ -194,6 +195,15 @@
   }
 }
 
+void Relay::ReleaseAnswer(uint64_t run) {
+  held_answers_.Remove(run);
+  for (uint64_t resumed : answer_reads_.Remove(run)) {
+    for (const auto& request : open_) {
+      if (request->ResumeAnswer(resumed)) break;
+    }
+  }
+}
+
 bool Relay::SetConfig(ServiceConfig config) {
   if (config_ != nullptr && config.version() <= config_->version()) {
     return false;
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -29,6 +29,7 @@
 #include "daemon/partition_watch.h"
 #include "daemon/request_forwarder.h"
 #include "daemon/version_watch.h"
+#include "leverwick/answer_reads.h"
 #include "leverwick/endpoint_pool.h"
 #include "leverwick/endpoint_selector.h"
 #include "leverwick/engine_loads.h"
@@ -73,6 +74,8 @@
   double retry_start = 3;
   double retry_most = 6;
   nanoseconds far_megabyte{0};  // weight of bytes to other data centres
+  // For whole answers while they are read from endpoints.
+  size_t answer_bytes = 32UL << 20;
   double weak_answer = 0.5;  // confidence under which a larger model is asked
   RolloutOptions rollout;
   HttpConnectionsOptions connections;
@@ -173,6 +176,8 @@
   // Breaks off the largest answer of unknown length if there are too many bytes
   // of such answers.
   void DropLargestAnswer();
+  // Ends the count of what is held of a run's answer.
+  void ReleaseAnswer(uint64_t run);
   void TellPoison();
   void SetRolloutGauges(const RolloutRecord& rollout);
   void SetSpeedGauges();
@@ -221,7 +226,8 @@
   ServiceDemand demand_;
   PoisonRequests poison_;
   PoisonParts poison_parts_;
-  HeldAnswers held_answers_;
+  HeldAnswers held_answers_;  // of unknown length
+  AnswerReads answer_reads_;  // of known length
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
   std::set<std::shared_ptr<RelayedRequest>> open_;
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -65,6 +65,8 @@
   void Start();
   // Breaks off the answer of this run; false if it is not this request's.
   bool DropAnswer(uint64_t run);
+  // Reads the answer of this run on; false if it is not this request's.
+  bool ResumeAnswer(uint64_t run);
 
  private:
   // Sending.
--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -139,7 +139,15 @@
   if (try_->streams) return PassEvents(try_->head, bytes);
   try_->body.append(bytes);
   bool has_known_length = try_->head.has_length && !try_->head.chunked;
-  if (!has_known_length) NoteHeldBytes(try_->body.size());
+  if (!has_known_length) return NoteHeldBytes(try_->body.size());
+  if (!relay_->answer_reads_.Record(try_->run, try_->body.size()))
+    PauseReading();
+}
+
+bool RelayedRequest::ResumeAnswer(uint64_t run) {
+  bool is_own = try_ && try_->call && try_->run == run;
+  if (is_own) try_->call->ResumeReading();
+  return is_own;
 }
 
 void RelayedRequest::NoteHeldBytes(size_t bytes) {
@@ -338,7 +346,7 @@
   relay_->demand_.RecordEnd(service_, Clock::now());
   relay_->brittle_.RecordEnd(try_->endpoint);
   relay_->loads_.RecordFinish(try_->ticket);
-  relay_->held_answers_.Remove(try_->run);
+  relay_->ReleaseAnswer(try_->run);
   ReleasePlace();
   RecentRuns* runs = relay_->ends_.runs();
   if (how) {
