HTTP answers: a head that HTTP does not allow is no answer

What callers saw: an endpoint's answer with a status outside 100 to 599 was passed on, 600 to 999 as they were, 000 as "HTTP/1.1 0", which is no answer at all. A head that goes on in a second line beginning with a blank was passed on with that line joined to the field before it. By reading, not seen: an interim answer (100, 103) that carries the request's id was taken for the answer.

Cause: Boost.Beast takes any three digits for a status and joins such lines; nothing behind it asked.

The reader of all answers (endpoints, store, duties, boxes, forwarded answers) now takes statuses from 200 to 599 and field names that are tokens, refuses such lines in answers and reads interim answers without passing them on. An answer that is refused counts as broken, as other bytes that are no answer do: another replica is asked, or the caller gets 502. The product's own clients look at the status and the names too.

Names with blanks or control bytes elsewhere, and control bytes in values, were refused before.

--- a/net/endpoint_client.cc
+++ b/net/endpoint_client.cc
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <mutex>
 
+#include "net/http_codec.h"
+
 namespace leverwick {
 namespace {
 
@@ -55,9 +57,18 @@
   return 0;
 }
 
+// Whether the line of a head is a status line, a field or the end.
+bool IsHeadLine(const std::string& line) {
+  bool is_status = line.rfind("HTTP/", 0) == 0;
+  bool is_end = line == "\r\n" || line == "\n";
+  return is_status || is_end || IsFieldName(line.substr(0, line.find(':')));
+}
+
 size_t OnHeader(char* data, size_t, size_t size, void* user) {
+  constexpr size_t kEndCall = 0;
   auto* transfer = static_cast<Transfer*>(user);
   std::string line(data, size);
+  if (!IsHeadLine(line)) return kEndCall;
   std::transform(line.begin(), line.end(), line.begin(), ::tolower);
   if (line.rfind("x-started: false", 0) == 0) {
     transfer->answer->not_started = true;
@@ -120,7 +131,8 @@
 
 EndpointAnswer::Kind KindOf(CURL* handle, CURLcode code,
                             const Transfer& transfer) {
-  if (code == CURLE_OK) return EndpointAnswer::kAnswered;
+  bool is_answer = code == CURLE_OK && IsFinalStatus(StatusOf(handle));
+  if (is_answer) return EndpointAnswer::kAnswered;
   if (transfer.stopped) return EndpointAnswer::kStopped;
   long sent = 0;
   curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -11,6 +11,7 @@
 #include <cstdlib>
 
 #include "leverwick/result.h"
+#include "net/http_codec.h"
 
 namespace leverwick {
 namespace {
@@ -31,14 +32,18 @@
   return text + "\r\n" + body;
 }
 
-void ReadHeaders(const mg_response_info& info, HttpResult* result) {
+// Returns whether the head is one that HTTP allows.
+bool ReadHead(const mg_response_info& info, HttpResult* result) {
+  bool is_valid = IsFinalStatus(info.status_code);
   for (int i = 0; i < info.num_headers; ++i) {
     std::string name = info.http_headers[i].name;
+    is_valid = is_valid && IsFieldName(name);
     std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
       return static_cast<char>(std::tolower(c));
     });
     result->headers[name] = info.http_headers[i].value;
   }
+  return is_valid;
 }
 
 bool ReadBody(mg_connection* connection, long long length, std::string* body) {
@@ -103,8 +108,12 @@
     mg_close_connection(connection);
     return result;
   }
+  if (!ReadHead(*info, &result)) {
+    mg_close_connection(connection);
+    result.error = Result::kBadResponse;
+    return result;
+  }
   result.status = info->status_code;
-  ReadHeaders(*info, &result);
   bool keep = info->content_length >= 0;
   bool whole = ReadBody(connection, info->content_length, &result.body);
   constexpr uint64_t kHeaderBytes = 60;
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -17,6 +17,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+constexpr int kSwitchingProtocols = 101;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
 char Lower(char c) { return c >= 'A' && c <= 'Z' ? char(c + 32) : c; }
 
 // Fields of one connection only (RFC 9110, 7.6.1).
@@ -59,6 +62,16 @@
   return head.Count("host") > 1;
 }
 
+// Whether the head at the begin of `bytes` is whole and goes on with a field in
+// a line that begins with a blank. Its end is looked for behind `from`.
+bool IsFolded(std::string_view bytes, size_t from) {
+  size_t end = bytes.find(kHeadEnd, from);
+  if (end == std::string_view::npos) return false;
+  std::string_view head = bytes.substr(0, end);
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 HttpReader::Error ErrorOf(const beast::error_code& error) {
   if (error == http::error::header_limit) return HttpReader::kHeadTooLarge;
   if (error == http::error::body_limit) return HttpReader::kBodyTooLarge;
@@ -73,6 +86,18 @@
                     [](char a, char b) { return Lower(a) == Lower(b); });
 }
 
+bool IsFinalStatus(int status) { return status >= 200 && status <= 599; }
+
+bool IsFieldName(std::string_view name) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  auto is_allowed = [&](char c) {
+    bool is_letter = Lower(c) >= 'a' && Lower(c) <= 'z';
+    bool is_digit = c >= '0' && c <= '9';
+    return is_letter || is_digit || kMarks.find(c) != std::string_view::npos;
+  };
+  return !name.empty() && std::all_of(name.begin(), name.end(), is_allowed);
+}
+
 const std::string& HttpHead::Field(std::string_view name) const {
   static const std::string none;
   for (const auto& field : fields) {
@@ -149,6 +174,8 @@
   virtual bool done() const = 0;
   virtual bool started() const = 0;
   virtual bool has_head() const = 0;
+  // Whether the message is a response that another one follows.
+  virtual bool is_interim() const = 0;
 };
 
 template <bool kIsRequest>
@@ -171,6 +198,9 @@
   bool done() const override { return Super::is_done(); }
   bool started() const override { return Super::got_some(); }
   bool has_head() const override { return Super::is_header_done(); }
+  bool is_interim() const override {
+    return !kIsRequest && Super::is_header_done() && is_interim_;
+  }
 
  private:
   void on_request_impl(http::verb, View method, View target, int version,
@@ -180,12 +210,16 @@
     head_.minor_version = version % 10;
   }
   void on_response_impl(int code, View, int version,
-                        beast::error_code&) override {
+                        beast::error_code& error) override {
+    is_interim_ = code >= 100 && code < 200 && code != kSwitchingProtocols;
+    if (!is_interim_ && !IsFinalStatus(code)) error = http::error::bad_status;
     head_.status = code;
     head_.minor_version = version % 10;
   }
   void on_field_impl(http::field, View name, View value,
-                     beast::error_code&) override {
+                     beast::error_code& error) override {
+    bool is_name = IsFieldName({name.data(), name.size()});
+    if (!is_name) error = http::error::bad_field;
     head_.fields.emplace_back(std::string(name), std::string(value));
   }
   void on_header_impl(beast::error_code& error) override {
@@ -196,7 +230,7 @@
     head_.keep_alive = Super::keep_alive();
     head_.chunked = Super::chunked();
     head_.has_length = Super::content_length().has_value() || head_.chunked;
-    observer_->OnHead(std::move(head_));
+    if (!is_interim_) observer_->OnHead(std::move(head_));
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
                          beast::error_code&) override {}
@@ -210,9 +244,12 @@
     observer_->OnBody({body.data(), body.size()});
     return body.size();
   }
-  void on_finish_impl(beast::error_code&) override { observer_->OnEnd(); }
+  void on_finish_impl(beast::error_code&) override {
+    if (!is_interim_) observer_->OnEnd();
+  }
 
   Observer* const observer_;
+  bool is_interim_ = false;
   HttpHead head_;
 };
 
@@ -249,21 +286,37 @@
     bytes = joined;
   }
   size_t taken = 0;
-  while (taken < bytes.size() && !parser_->done()) {
+  // Bytes that were held before have no end of a head among them.
+  size_t from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
+  while (Parse(bytes, from, &taken) && parser_->done() &&
+         parser_->is_interim()) {
+    Reset();
+    from = taken;
+  }
+  *used = taken - before;
+  return error_ == kNone;
+}
+
+bool HttpReader::Parse(std::string_view bytes, size_t from, size_t* taken) {
+  bool may_fold = kind_ == kResponses && !parser_->has_head();
+  if (may_fold && IsFolded(bytes.substr(*taken), from - *taken)) {
+    error_ = kMalformed;
+    return false;
+  }
+  while (*taken < bytes.size() && !parser_->done()) {
     beast::error_code error;
-    size_t size = parser_->Put(bytes.substr(taken), &error);
-    taken += size;
+    size_t size = parser_->Put(bytes.substr(*taken), &error);
+    *taken += size;
     if (error == http::error::need_more) {
       // What is left belongs to a line that is not whole yet.
-      held_.assign(bytes.substr(taken));
-      taken = bytes.size();
+      held_.assign(bytes.substr(*taken));
+      *taken = bytes.size();
       if (held_.size() > limits_.head_bytes) error_ = kHeadTooLarge;
       break;
     }
     if (error) error_ = ErrorOf(error);
     if (error_ != kNone || size == 0) break;
   }
-  *used = taken - before;
   return error_ == kNone;
 }
 
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -2,7 +2,10 @@
 //
 // Framing is Boost.Beast's. The reader refuses what could be read in two ways
 // by two programs: two lengths, a length beside an encoding, an encoding that
-// is not exactly "chunked", two hosts.
+// is not exactly "chunked", two hosts. It also refuses what RFC 9110 does not
+// allow: statuses outside 100 to 599, field names that are no tokens, and
+// fields of a response that go on in a second line. Interim responses are read
+// and dropped, but for 101, since nobody asks for another protocol.
 //
 //   HttpReader reader(HttpReader::kResponses, limits, &observer);
 //   size_t used;
@@ -45,6 +48,11 @@
 
 bool SameName(std::string_view left, std::string_view right);
 
+// Whether a response may have this status: 200 to 599.
+bool IsFinalStatus(int status);
+// Whether a field may have this name: a token (RFC 9110, 5.1).
+bool IsFieldName(std::string_view name);
+
 // Drops the fields that concern one connection only, and the framing.
 void RemoveHopFields(HttpHead* head);
 
@@ -101,6 +109,10 @@
   class Parser;
   class Base;
 
+  // Passes bytes to the parser, up to the end of a message at the most. The end
+  // of a head that is not whole yet is looked for behind `from`.
+  bool Parse(std::string_view bytes, size_t from, size_t* taken);
+
   const Kind kind_;
   Limits limits_;
   Observer* const observer_;
--- a/net/testing/http_codec_test.cc
+++ b/net/testing/http_codec_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
+#include <string>
+
 namespace leverwick {
 namespace {
 
@@ -89,6 +92,72 @@
   CHECK(bodies.error() == HttpReader::kBodyTooLarge);
 }
 
+TEST_CASE("statuses are those that HTTP has") {
+  for (int status = 0; status <= 999; ++status) {
+    char digits[8];
+    std::snprintf(digits, sizeof(digits), "%03d", status);
+    Collected collected;
+    HttpReader reader(HttpReader::kResponses, {}, &collected);
+    size_t used = 0;
+    std::string text =
+        "HTTP/1.1 " + std::string(digits) + " X\r\nContent-Length: 0\r\n\r\n";
+    bool is_interim = status >= 100 && status < 200 && status != 101;
+    bool is_final = status >= 200 && status <= 599;
+    CAPTURE(status);
+    CHECK(reader.Feed(text, &used) == (is_interim || is_final));
+    CHECK(reader.done() == is_final);
+    CHECK(collected.head.status == (is_final ? status : 0));
+  }
+}
+
+TEST_CASE("names of fields are tokens, in requests and in answers") {
+  const std::string kMarks = "!#$%&'*+-.^_`|~";
+  for (int byte = 0; byte < 256; ++byte) {
+    auto c = static_cast<char>(byte);
+    bool is_token = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                    (c >= '0' && c <= '9') ||
+                    (c != '\0' && kMarks.find(c) != std::string::npos);
+    if (c == ':' || c == '\r' || c == '\n') continue;  // end the name or line
+    CAPTURE(byte);
+    for (const std::string& name :
+         {"X" + std::string(1, c) + "Y", std::string(1, c),
+          "X" + std::string(1, c), std::string(1, c) + "Y"}) {
+      CHECK(IsFieldName(name) == is_token);
+      for (auto kind : {HttpReader::kRequests, HttpReader::kResponses}) {
+        Collected collected;
+        HttpReader reader(kind, {}, &collected);
+        size_t used = 0;
+        // A request may go on with a field in such a line.
+        bool is_folded = name[0] == ' ' || name[0] == '\t';
+        if (is_folded && kind == HttpReader::kRequests) continue;
+        std::string start =
+            kind == HttpReader::kRequests ? "GET / HTTP/1.1" : "HTTP/1.1 204 X";
+        std::string text = start + "\r\nHost: x\r\n" + name + ": v\r\n\r\n";
+        CHECK((reader.Feed(text, &used) && reader.done()) == is_token);
+      }
+    }
+  }
+  CHECK_FALSE(IsFieldName(""));
+}
+
+TEST_CASE("interim answers before the answer are dropped at any cut") {
+  const std::string text =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (size_t cut = 0; cut <= text.size(); ++cut) {
+    Collected collected;
+    HttpReader reader(HttpReader::kResponses, {}, &collected);
+    size_t used = 0;
+    CHECK(reader.Feed(text.substr(0, cut), &used));
+    CHECK(used == cut);
+    CHECK(reader.Feed(text.substr(cut), &used));
+    CHECK(reader.done());
+    CHECK(collected.head.status == 200);
+    CHECK_FALSE(collected.head.Has("A"));
+    CHECK(collected.body == "ok");
+  }
+}
+
 TEST_CASE("an answer without a length is whole when its connection ends") {
   Collected collected;
   HttpReader reader(HttpReader::kResponses, {}, &collected);
