Relayed streams: one that goes on with a whole answer is broken off

Cause: the answer was passed on as if nothing had been sent, which does nothing once the caller has the head of a stream, and the request ended.

Now the stream is broken off, as when no endpoint takes it up.

--- a/daemon/relayed_request_answer.cc
+++ b/daemon/relayed_request_answer.cc
@@ -262,6 +262,8 @@
   if (try_->had_free_place)
     relay_->room_.RecordResponse(service_, now - try_->sent_at, now);
   relay_->watch_.Answered(Watched(), false, now - try_->sent_at);
+  // The caller has the head of a stream, which this is no rest of.
+  if (stream_started_) return BreakStream("stream_broken");
   PassAnswer(try_->head, std::move(try_->body));
 }
 
