HTTP client: sends of one request use different connections

What callers saw: an endpoint refused a request twice, the second time late, on the connection of the first send.

Cause: an answer is told from others by its request's id, which is the same for all sends of a request, and the later send used the kept connection again.

Now a connection is not used for the request that it carried last. What comes late there is dropped, as bytes on a connection at rest, or as an answer with another request's id.

--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -288,8 +288,9 @@
   const std::string& body = exchange_->body();
   bool has_body = !body.empty() || exchange_->head().has_length;
   if (has_body) head.Set("Content-Length", std::to_string(body.size()));
-  if (body.size() < kShortBody) return {RequestText(head) + body, nullptr};
-  return {RequestText(head), exchange_->shared_body()};
+  if (body.size() < kShortBody)
+    return {RequestText(head) + body, nullptr, request_.id};
+  return {RequestText(head), exchange_->shared_body(), request_.id};
 }
 
 void RelayedRequest::PassAnswer(HttpHead head, std::string body) {
--- a/daemon/request_forwarder.cc
+++ b/daemon/request_forwarder.cc
@@ -42,7 +42,7 @@
   head.Set("Content-Length", std::to_string(size));
   targets_.RecordStart(peer.name, Clock::now());
   call->Start(&connections_, peer.address,
-              {RequestText(head) + message.start, message.body});
+              {RequestText(head) + message.start, message.body, ""});
 }
 
 void RequestForwarder::RecordEnd(const std::string& peer,
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -58,6 +58,7 @@
     tcp_->ForgetSent();
     tcp_->ResumeReading();
     ClientRequest request = std::move(call_->request_);
+    last_id_ = std::move(request.id);
     tcp_->Write(std::move(request.head));
     if (request.body) tcp_->Write(std::move(request.body));
   }
@@ -78,6 +79,8 @@
   bool is_open() const { return tcp_->is_open(); }
   bool is_kept() const { return calls_ > 1; }
   TimePoint usable_until() const { return usable_until_; }
+  // Of the newest request that has one.
+  const std::string& last_id() const { return last_id_; }
 
  private:
   void OnBytes(std::string_view bytes) override {
@@ -181,6 +184,7 @@
   HttpReader reader_;
   std::shared_ptr<ClientCall> call_;
   size_t calls_ = 0;
+  std::string last_id_;
   bool reusable_ = true;
   bool dropping_ = false;  // reading an answer that is not this request's
   milliseconds usable_time_{0};
@@ -221,7 +225,7 @@
   auto call = std::make_shared<ClientCall>();
   call->request_ = std::move(request);
   call->observer_ = observer;
-  auto connection = TakeIdle(address);
+  auto connection = TakeIdle(address, call->request_.id);
   if (connection == nullptr) {
     SendOnNewConnection(address, call);
   } else {
@@ -265,17 +269,18 @@
 }
 
 std::shared_ptr<ClientConnection> HttpConnections::TakeIdle(
-    const std::string& address) {
+    const std::string& address, const std::string& id) {
   auto found = idle_.find(address);
   if (found == idle_.end()) return nullptr;
   auto& kept = found->second;
   TimePoint now = Clock::now();
-  while (!kept.empty()) {
-    auto connection = kept.back();
-    kept.pop_back();
-    if (connection->is_open() && connection->usable_until() > now) {
-      return connection;
-    }
+  for (size_t left = kept.size(); left > 0; --left) {
+    auto connection = kept[left - 1];
+    bool is_usable = connection->is_open() && connection->usable_until() > now;
+    bool has_carried_it = !id.empty() && connection->last_id() == id;
+    if (is_usable && has_carried_it) continue;
+    kept.erase(kept.begin() + static_cast<ptrdiff_t>(left - 1));
+    if (is_usable) return connection;
     connection->Close();
   }
   return nullptr;
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -36,7 +36,11 @@
 // use elsewhere too. Null: none, or it stands behind the head.
 struct ClientRequest {
   std::string head;
-  std::shared_ptr<const std::string> body;
+  std::shared_ptr<const std::string> body = nullptr;
+  // Names the request in answers, so that a late answer to an earlier send
+  // can't be told from the one that is awaited: sends of one id use different
+  // connections. Empty: any connection.
+  std::string id = "";
 };
 
 // One request on its way to a server and the answer to it.
@@ -111,7 +115,7 @@
   std::shared_ptr<ClientCall> Send(const std::string& address,
                                    std::string request,
                                    ClientCall::Observer* observer) {
-    return Send(address, ClientRequest{std::move(request), nullptr}, observer);
+    return Send(address, ClientRequest{std::move(request)}, observer);
   }
 
   // Called when the other side closes a connection at rest.
@@ -138,7 +142,9 @@
  private:
   friend class ClientConnection;
 
-  std::shared_ptr<ClientConnection> TakeIdle(const std::string& address);
+  // A kept connection that has not carried the request of this id; null: none.
+  std::shared_ptr<ClientConnection> TakeIdle(const std::string& address,
+                                             const std::string& id);
   void Keep(const std::shared_ptr<ClientConnection>& connection);
   void DropIdle(ClientConnection* connection);
   void RestClosed(ClientConnection* connection);
--- a/net/testing/async_http_test.cc
+++ b/net/testing/async_http_test.cc
@@ -39,6 +39,31 @@
   CHECK(connections.opened() == 1);
 }
 
+TEST_CASE("sends of one request use different connections") {
+  io_context loop;
+  RawServer server(&loop, [](RawConnection* peer) {
+    peer->received.clear();
+    peer->tcp->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpConnections connections(&loop, {});
+  auto send = [&](const std::string& id) {
+    CollectedAnswer answer;
+    connections.Send(server.address(),
+                     ClientRequest{"GET / HTTP/1.1\r\n\r\n", nullptr, id},
+                     &answer);
+    REQUIRE(RunUntil(&loop, [&] { return answer.whole; }));
+  };
+  send("a");
+  send("a");
+  CHECK(server.connections.size() == 2);
+  // Others use both, and so does the same request after them.
+  send("b");
+  send("c");
+  send("a");
+  send("");
+  CHECK(server.connections.size() == 2);
+}
+
 TEST_CASE("an answer of another request is dropped and the next awaited") {
   io_context loop;
   RawServer server(
