Callers' connections: silence is judged by the idle time of the limits

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges all that comes and has closed its window. Its 2 s are for boxes, which judge each other's silence within 3 s, and were set on callers' connections too.

Callers' connections now have the idle time of the configuration, as the server's own look at callers that take nothing does.

--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -51,6 +51,7 @@
       metrics_(loop,
                [this](const auto& exchange) { AnswerMetrics(exchange.get()); }),
       stop_timer_(*loop) {
+  SetLimits({});
   callers_.SetCapacity(options_.capacity);
   for (AsyncHttpServer* server : {&ready_, &metrics_}) {
     server->SetLimits(ShortLimits());
@@ -83,6 +84,7 @@
   server.body_bytes = limits.max_body_bytes;
   server.head_time = limits.header_timeout;
   server.idle_time = limits.idle_timeout;
+  server.unacknowledged_time = limits.idle_timeout;
   callers_.SetLimits(server);
 }
 
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -93,7 +93,7 @@
     ++counts_.refused_connections;
     return TellFull();  // the socket closes
   }
-  SetTcpOptions(&socket);
+  SetTcpOptions(&socket, limits_.unacknowledged_time);
   auto connection = std::make_shared<ServerConnection>(this, std::move(socket));
   connections_.insert(connection);
   connection->Start();
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -49,6 +49,9 @@
   uint64_t body_bytes = 4u << 20;
   milliseconds head_time{3000};   // from the first byte to the whole request
   milliseconds idle_time{15000};  // between requests
+  // Without a byte acknowledged, of connections that are accepted later.
+  // Callers may read slowly; boxes judge each other's silence sooner.
+  milliseconds unacknowledged_time = kUnacknowledged;
 };
 
 class ServerConnection;
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -18,10 +18,6 @@
 using Wait = tcp::socket::wait_type;
 
 constexpr size_t kReadBuffer = 64UL * 1024;
-// A peer that acknowledges nothing for this long is gone. Boxes judge each
-// other's silence within 3 s (docs/PLATFORM-MOVE.md), so it lies below that
-// and above two retransmissions of a lost packet.
-constexpr milliseconds kUnacknowledged{2000};
 // Probes on a connection that is idle, to notice the same there.
 constexpr int kProbeIdleSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
@@ -43,7 +39,7 @@
 
 }  // namespace
 
-void SetTcpOptions(TcpConnection::Socket* socket) {
+void SetTcpOptions(TcpConnection::Socket* socket, milliseconds unacknowledged) {
   int handle = socket->native_handle();
   SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -51,7 +47,7 @@
   SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
   SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(kUnacknowledged.count()));
+            static_cast<int>(unacknowledged.count()));
 }
 
 bool ParseAddress(const std::string& text, tcp::endpoint* address) {
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -111,9 +111,15 @@
                        const boost::asio::ip::tcp::endpoint& address,
                        milliseconds limit, ConnectCallback callback)>;
 
+// A peer that acknowledges nothing for this long is gone. Boxes judge each
+// other's silence within 3 s (docs/PLATFORM-MOVE.md), so it lies below that
+// and above two retransmissions of a lost packet.
+constexpr milliseconds kUnacknowledged{2000};
+
 // Options of every connection: no delay for small writes, and the kernel's
-// own notice of a peer that fell silent.
-void SetTcpOptions(TcpConnection::Socket* socket);
+// own notice of a peer that fell silent, or takes nothing, for a time.
+void SetTcpOptions(TcpConnection::Socket* socket,
+                   milliseconds unacknowledged = kUnacknowledged);
 
 // "ip:port" as an address; false when it is malformed.
 bool ParseAddress(const std::string& text,
