--- a/leverwick/answer_reads.cc
+++ b/leverwick/answer_reads.cc
@@ -7,7 +7,8 @@
   bytes_ = bytes_ - answer.bytes + bytes;
   answer.bytes = bytes;
   bool is_oldest = answers_.begin()->first == run;
-  answer.is_paused = bytes_ > max_bytes_ && !is_oldest;
+  bool may_pause = bytes > kSmallAnswer && !is_oldest;
+  answer.is_paused = may_pause && bytes_ > max_bytes_;
   return !answer.is_paused;
 }
 
--- a/leverwick/answer_reads.h
+++ b/leverwick/answer_reads.h
@@ -1,5 +1,6 @@
 // Bounds the memory of whole answers while they are read from endpoints. Beyond
-// the bound only the oldest is read on; the others pause, and lose nothing.
+// the bound only the oldest and small ones are read on; the others pause, and
+// lose nothing.
 //
 //   AnswerReads reads(24UL << 20);
 //   if (!reads.Record(run, bytes)) ...  // pause
@@ -18,6 +19,9 @@
 // Not thread-safe.
 class AnswerReads {
  public:
+  // Answers of which no more has been read are small.
+  static constexpr size_t kSmallAnswer = 64UL * 1024;
+
   explicit AnswerReads(size_t max_bytes) : max_bytes_(max_bytes) {}
 
   // Records that so many bytes of a run's answer are held. Returns whether it
