--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -44,7 +44,13 @@
       : owner_(owner),
         address_(std::move(address)),
         tcp_(std::move(tcp)),
-        reader_(HttpReader::kResponses, owner->options_.answer_limits, this) {}
+        reader_(HttpReader::kResponses, owner->options_.answer_limits, this),
+        open_(owner->open_) {
+    ++*open_;
+  }
+  ~ClientConnection() override { --*open_; }
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
 
   const std::string& address() const { return address_; }
   void Start() { tcp_->Start(this); }
@@ -189,6 +195,7 @@
   bool dropping_ = false;  // reading an answer that is not this request's
   milliseconds usable_time_{0};
   TimePoint usable_until_{};
+  const std::shared_ptr<size_t> open_;  // connections of the owner
 };
 
 void ClientCall::Abort() {
@@ -296,6 +303,7 @@
 
 void HttpConnections::Keep(
     const std::shared_ptr<ClientConnection>& connection) {
+  if (open() > options_.max_open) return connection->Close();
   auto& kept = idle_[connection->address()];
   TimePoint now = Clock::now();
   while (!kept.empty() && (kept.front()->usable_until() <= now ||
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -97,6 +97,8 @@
   // Longest rest of a kept connection when the server names no time.
   milliseconds idle_time{10000};
   size_t max_idle_each = 64;  // kept connections to one address
+  // While more connections are open, none is kept when its call has ended.
+  size_t max_open = 4096;
   HttpReader::Limits answer_limits{64UL * 1024, 256UL << 20};
   ConnectFunction connect = ConnectTcp;
 };
@@ -135,6 +137,8 @@
   std::weak_ptr<const void> lifetime() const { return lifetime_; }
 
   uint64_t opened() const { return opened_; }
+  // Connections that carry a call or are kept.
+  size_t open() const { return *open_; }
   size_t idle() const;
   // Whether a connection to the address is open and at rest.
   bool HasIdle(const std::string& address) const;
@@ -155,6 +159,7 @@
   const HttpConnectionsOptions options_;
   std::map<std::string, std::deque<std::shared_ptr<ClientConnection>>> idle_;
   uint64_t opened_ = 0;
+  const std::shared_ptr<size_t> open_ = std::make_shared<size_t>(0);
   std::function<void(const std::string& address)> rest_closed_ =
       [](const std::string&) {};
   const std::shared_ptr<const int> lifetime_ = std::make_shared<const int>(0);
--- a/net/testing/async_http_test.cc
+++ b/net/testing/async_http_test.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <vector>
+
 #include "net/async_http_client.h"
 #include "net/async_http_server.h"
 #include "net/testing/collected_answer.h"
@@ -64,6 +67,25 @@
   CHECK(server.connections.size() == 2);
 }
 
+TEST_CASE("while too many connections are open none is kept") {
+  io_context loop;
+  RawServer server(&loop,
+                   AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+  HttpConnectionsOptions options;
+  options.max_open = 2;
+  HttpConnections connections(&loop, options);
+  std::vector<CollectedAnswer> answers(5);
+  for (CollectedAnswer& answer : answers) {
+    connections.Send(server.address(), kRequest, &answer);
+  }
+  REQUIRE(RunUntil(&loop, [&] {
+    return std::all_of(answers.begin(), answers.end(),
+                       [](const auto& answer) { return answer.whole; });
+  }));
+  CHECK(connections.idle() == 2);
+  CHECK(RunUntil(&loop, [&] { return connections.open() == 2; }));
+}
+
 TEST_CASE("an answer of another request is dropped and the next awaited") {
   io_context loop;
   RawServer server(
