HTTP server, request memory: names that the field uses

Requests that lose their memory are evicted, bytes behind a request that is worked on are pipelined, connections have a rank in which they are closed. No change of behaviour; the tests of net/, of both memories and the crowds pass.

--- a/leverwick/request_memory.cc
+++ b/leverwick/request_memory.cc
@@ -30,8 +30,8 @@
 }
 
 bool RequestMemory::Reserve(Ticket ticket, size_t bytes, TimePoint now,
-                            std::vector<Ticket>* give_way) {
-  give_way->clear();
+                            std::vector<Ticket>* evicted) {
+  evicted->clear();
   Request& request = requests_.at(ticket);
   size_t others = bytes_ - request.bytes;
   size_t other_large = large_ - (IsLarge(request.bytes) ? 1 : 0);
@@ -41,14 +41,14 @@
   if (!fits && !is_only_large) {
     TimePoint silent_since = IsLarge(bytes) ? now - kStallTime : now;
     size_t lacking = others + bytes - bound;
-    *give_way = FindToGiveWay(ticket, lacking, silent_since);
-    if (give_way->empty()) return false;
+    *evicted = FindEvictable(ticket, lacking, silent_since);
+    if (evicted->empty()) return false;
   }
   SetBytes(&request, bytes);
   return true;
 }
 
-std::vector<RequestMemory::Ticket> RequestMemory::FindToGiveWay(
+std::vector<RequestMemory::Ticket> RequestMemory::FindEvictable(
     Ticket ticket, size_t bytes, TimePoint silent_since) const {
   std::vector<Ticket> found;
   size_t freed = 0;
--- a/leverwick/request_memory.h
+++ b/leverwick/request_memory.h
@@ -2,17 +2,16 @@
 // that are being read and those that are served.
 //
 // A request reserves memory before it takes it. When the bound is reached,
-// requests that are being read and have been silent for longest give way. A
-// large request takes memory only from requests that have stalled, and never
-// the part that is kept for small ones; a small request takes it from any
-// request that is not read yet. A request that has been read never gives way:
-// an endpoint may already run it.
+// requests that are being read are evicted, the longest silence first. A large
+// request evicts only requests that have stalled, and never uses the part that
+// is kept for small ones; a small request evicts any that is not read yet. A
+// request that has been read is never evicted: an endpoint may already run it.
 //
 //   auto memory = std::make_shared<RequestMemory>(24UL << 20);
 //   RequestHold hold(memory, now);
-//   std::vector<RequestMemory::Ticket> give_way;
-//   if (!memory->Reserve(hold.ticket(), bytes, now, &give_way)) ...  // refuse
-//   ...  // drop the holds of give_way, then take the memory
+//   std::vector<RequestMemory::Ticket> evicted;
+//   if (!memory->Reserve(hold.ticket(), bytes, now, &evicted)) ...  // refuse
+//   ...  // drop the holds of the evicted, then take the memory
 //   memory->RecordProgress(hold.ticket(), now);
 //   memory->RecordWhole(hold.ticket());
 
@@ -49,11 +48,11 @@
   void Remove(Ticket ticket);
 
   // Reserves `bytes` for the request in place of what it has. Returns false if
-  // there is no room; nothing has changed then. Sets `give_way` to the requests
-  // whose memory has to be freed first. One large request is granted whatever
-  // its size.
+  // there is no room; nothing has changed then. Sets `evicted` to the requests
+  // whose memory the caller has to free first. One large request is granted
+  // whatever its size.
   bool Reserve(Ticket ticket, size_t bytes, TimePoint now,
-               std::vector<Ticket>* give_way);
+               std::vector<Ticket>* evicted);
 
   // Records that bytes of the request have come.
   void RecordProgress(Ticket ticket, TimePoint now);
@@ -75,7 +74,7 @@
   // The bytes that requests may hold together once one of this size is added.
   size_t BoundFor(size_t bytes) const;
   // Finds requests that free `bytes`; empty if there are not enough.
-  std::vector<Ticket> FindToGiveWay(Ticket ticket, size_t bytes,
+  std::vector<Ticket> FindEvictable(Ticket ticket, size_t bytes,
                                     TimePoint silent_since) const;
   void SetBytes(Request* request, size_t bytes);
 
--- a/leverwick/testing/request_memory_test.cc
+++ b/leverwick/testing/request_memory_test.cc
@@ -19,8 +19,8 @@
  public:
   using Ticket = RequestMemory::Ticket;
 
-  // Returns the ticket of a new request; 0 if it has no room. Those that have
-  // to give way do so.
+  // Returns the ticket of a new request; 0 if it has no room. The evicted
+  // are removed.
   Ticket Read(size_t bytes) {
     Ticket ticket = memory.Add(now);
     if (Grow(ticket, bytes)) return ticket;
@@ -28,14 +28,14 @@
     return 0;
   }
   bool Grow(Ticket ticket, size_t bytes) {
-    bool has_room = memory.Reserve(ticket, bytes, now, &give_way);
-    for (Ticket dropped : give_way) memory.Remove(dropped);
+    bool has_room = memory.Reserve(ticket, bytes, now, &evicted);
+    for (Ticket dropped : evicted) memory.Remove(dropped);
     return has_room;
   }
 
   RequestMemory memory{kMax};
   TimePoint now = TimePoint() + std::chrono::hours(1);
-  std::vector<Ticket> give_way;
+  std::vector<Ticket> evicted;
 };
 
 TEST_CASE("large requests leave memory to small ones") {
@@ -46,13 +46,13 @@
   int small = 0;
   while (requests.memory.bytes() + kSmall <= kMax) {
     REQUIRE(requests.Read(kSmall) != 0);
-    CHECK(requests.give_way.empty());
+    CHECK(requests.evicted.empty());
     ++small;
   }
   CHECK(small == 64);
 }
 
-TEST_CASE("a stalled request gives way to a large one; others do not") {
+TEST_CASE("a large request evicts a stalled one and no other") {
   Requests requests;
   auto stalled = requests.Read(kLarge);
   auto slow = requests.Read(kLarge);
@@ -62,7 +62,7 @@
   requests.now += kStalled;
   requests.memory.RecordProgress(slow, requests.now);
   CHECK(requests.Read(kLarge) != 0);
-  CHECK(requests.give_way == std::vector<RequestMemory::Ticket>{stalled});
+  CHECK(requests.evicted == std::vector<RequestMemory::Ticket>{stalled});
   CHECK(requests.Read(kLarge) == 0);
 }
 
@@ -74,10 +74,10 @@
   while (requests.memory.bytes() + kSmall <= kMax) requests.Read(kSmall);
   requests.memory.RecordWhole(first);
   CHECK(requests.Read(kSmall) != 0);
-  CHECK(requests.give_way == std::vector<RequestMemory::Ticket>{second});
+  CHECK(requests.evicted == std::vector<RequestMemory::Ticket>{second});
 }
 
-TEST_CASE("without a request that is being read nothing gives way") {
+TEST_CASE("without a request that is being read nothing is evicted") {
   Requests requests;
   while (auto ticket = requests.Read(kSmall)) {
     requests.memory.RecordWhole(ticket);
@@ -102,10 +102,10 @@
 
 TEST_CASE("a hold returns its memory") {
   auto memory = std::make_shared<RequestMemory>(kMax);
-  std::vector<RequestMemory::Ticket> give_way;
+  std::vector<RequestMemory::Ticket> evicted;
   {
     RequestHold hold(memory, TimePoint());
-    CHECK(memory->Reserve(hold.ticket(), kLarge, TimePoint(), &give_way));
+    CHECK(memory->Reserve(hold.ticket(), kLarge, TimePoint(), &evicted));
     CHECK(memory->bytes() == kLarge);
   }
   CHECK(memory->bytes() == 0);
@@ -128,7 +128,7 @@
         requests.memory.Remove(open.back());
         open.pop_back();
       }
-      for (auto gone : requests.give_way) {
+      for (auto gone : requests.evicted) {
         open.erase(std::remove(open.begin(), open.end(), gone), open.end());
       }
       REQUIRE(requests.memory.bytes() <= kMax + largest);
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -26,16 +26,16 @@
 constexpr milliseconds kLogPause{1000};
 
 // The order in which connections are closed for new ones.
-enum class Room { kNeverUsed, kAtRest, kReading, kBusy };
+enum class CloseRank { kNeverUsed, kAtRest, kReading, kBusy };
 
-Room RoomOf(const ServerConnection& connection, TimePoint now) {
+CloseRank CloseRankOf(const ServerConnection& connection, TimePoint now) {
   auto waited = now - connection.waits_since();
   bool is_silent = connection.IsAtRest() || connection.IsReading();
-  if (!is_silent) return Room::kBusy;
+  if (!is_silent) return CloseRank::kBusy;
   if (!connection.was_used())
-    return waited >= kLeastSilence ? Room::kNeverUsed : Room::kBusy;
-  if (waited < kLeastRest) return Room::kBusy;
-  return connection.IsAtRest() ? Room::kAtRest : Room::kReading;
+    return waited >= kLeastSilence ? CloseRank::kNeverUsed : CloseRank::kBusy;
+  if (waited < kLeastRest) return CloseRank::kBusy;
+  return connection.IsAtRest() ? CloseRank::kAtRest : CloseRank::kReading;
 }
 
 }  // namespace
@@ -120,12 +120,12 @@
 }
 
 bool AsyncHttpServer::MakeRoom() {
-  using Candidate = std::pair<Room, std::shared_ptr<ServerConnection>>;
+  using Candidate = std::pair<CloseRank, std::shared_ptr<ServerConnection>>;
   TimePoint now = Clock::now();
   std::vector<Candidate> candidates;
   for (const auto& connection : connections_) {
-    Room room = RoomOf(*connection, now);
-    if (room != Room::kBusy) candidates.emplace_back(room, connection);
+    CloseRank rank = CloseRankOf(*connection, now);
+    if (rank != CloseRank::kBusy) candidates.emplace_back(rank, connection);
   }
   size_t closing =
       std::min(candidates.size(), connections_.size() / kRoomPart + 1);
@@ -143,12 +143,12 @@
 
 bool AsyncHttpServer::Reserve(RequestMemory::Ticket ticket, size_t bytes) {
   TimePoint now = Clock::now();
-  std::vector<RequestMemory::Ticket> give_way;
-  if (!memory_->Reserve(ticket, bytes, now, &give_way)) return false;
+  std::vector<RequestMemory::Ticket> evicted;
+  if (!memory_->Reserve(ticket, bytes, now, &evicted)) return false;
   memory_->RecordProgress(ticket, now);
-  for (RequestMemory::Ticket other : give_way) {
+  for (RequestMemory::Ticket other : evicted) {
     auto found = reading_.find(other);
-    if (found != reading_.end()) found->second->GiveWay();
+    if (found != reading_.end()) found->second->Evict();
   }
   return true;
 }
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -12,7 +12,7 @@
 //
 // What a server holds is bounded (HttpServerCapacity). Requests that find no
 // memory are answered 503 before they are handed on; those that have been
-// silent for longest give way first. Beyond the bound on answers, the whole
+// silent for longest are evicted first. Beyond the bound on answers, the whole
 // answer that has waited for longest is broken off, and then the stream with
 // the most bytes. New connections take the places of those that have sent no
 // whole request, then of those that have rested for longest.
@@ -114,7 +114,7 @@
   bool EndClosing();
   bool IsFull();
 
-  // Reserves memory for a request; those that give way are refused.
+  // Reserves memory for a request; the evicted are refused.
   bool Reserve(RequestMemory::Ticket ticket, size_t bytes);
   // Breaks off answers that wait for slow callers, down to the bound on their
   // memory.
--- a/net/server_connection.cc
+++ b/net/server_connection.cc
@@ -13,7 +13,7 @@
 const Log kLog("http-server");
 
 // Bytes of the next requests that a caller may send ahead of its answers.
-constexpr size_t kMaxAhead = 64UL * 1024;
+constexpr size_t kMaxPipelined = 64UL * 1024;
 // While the box stops, a connection at rest is kept for a request that is on
 // its way: more than a round trip to a caller.
 constexpr milliseconds kRestWhileDraining{300};
@@ -59,7 +59,7 @@
 }
 
 bool ServerConnection::will_close() const {
-  return close_after_ || too_much_ahead_ || server_->draining_;
+  return close_after_ || too_much_pipelined_ || server_->draining_;
 }
 
 void ServerConnection::Finish() {
@@ -72,7 +72,7 @@
   // Not from inside the handler: a caller's held requests are taken one
   // turn of the loop after another.
   boost::asio::post(*server_->loop_,
-                    [self = shared_from_this()] { self->TakeAhead(); });
+                    [self = shared_from_this()] { self->TakePipelined(); });
 }
 
 void ServerConnection::BreakOff() {
@@ -85,7 +85,7 @@
 }
 
 bool ServerConnection::IsAtRest() const {
-  return exchange_ == nullptr && !reader_.any_read() && ahead_.empty() &&
+  return exchange_ == nullptr && !reader_.any_read() && pipelined_.empty() &&
          pending_bytes() == 0;
 }
 
@@ -93,8 +93,8 @@
   return exchange_ == nullptr && !is_closing_ && reader_.any_read();
 }
 
-void ServerConnection::GiveWay() {
-  if (exchange_ != nullptr) return DropAhead();
+void ServerConnection::Evict() {
+  if (exchange_ != nullptr) return DropPipelined();
   RefuseForMemory();
 }
 
@@ -159,37 +159,37 @@
 
 void ServerConnection::OnBytes(std::string_view bytes) {
   if (is_closing_) return;
-  bool must_wait = exchange_ != nullptr || !ahead_.empty();
-  if (must_wait) return HoldAhead(bytes);
+  bool must_wait = exchange_ != nullptr || !pipelined_.empty();
+  if (must_wait) return HoldPipelined(bytes);
   BeginRead(bytes);
 }
 
-void ServerConnection::HoldAhead(std::string_view bytes) {
-  if (too_much_ahead_) return;
-  size_t size = ahead_.size() + bytes.size();
+void ServerConnection::HoldPipelined(std::string_view bytes) {
+  if (too_much_pipelined_) return;
+  size_t size = pipelined_.size() + bytes.size();
   // Without an answer under way, what is held is about to be read.
-  bool is_too_much = exchange_ != nullptr && size > kMaxAhead;
-  if (is_too_much || !Reserve(size)) return DropAhead();
-  ahead_.reserve(size);
-  ahead_.append(bytes);
+  bool is_too_much = exchange_ != nullptr && size > kMaxPipelined;
+  if (is_too_much || !Reserve(size)) return DropPipelined();
+  pipelined_.reserve(size);
+  pipelined_.append(bytes);
 }
 
 // What is dropped would tear a request apart, so the connection ends behind
 // this answer.
-void ServerConnection::DropAhead() {
-  too_much_ahead_ = true;
-  ahead_ = std::string();
+void ServerConnection::DropPipelined() {
+  too_much_pipelined_ = true;
+  pipelined_ = std::string();
   ReleaseHold();
 }
 
-void ServerConnection::TakeAhead() {
+void ServerConnection::TakePipelined() {
   bool is_over = is_closing_ || !tcp_->is_open();
   if (exchange_ != nullptr || is_over) return;
-  if (too_much_ahead_) return CloseAfterAnswer();
-  if (ahead_.empty()) return;
-  std::string ahead;
-  ahead.swap(ahead_);
-  BeginRead(ahead);
+  if (too_much_pipelined_) return CloseAfterAnswer();
+  if (pipelined_.empty()) return;
+  std::string pipelined;
+  pipelined.swap(pipelined_);
+  BeginRead(pipelined);
 }
 
 // The first byte of a request starts the time for the whole of it.
@@ -260,11 +260,11 @@
   head_memory_ = 0;
   body_ = std::string();
   body_length_ = 0;
-  ahead_ = std::string();
+  pipelined_ = std::string();
   ReleaseHold();
 }
 
-void ServerConnection::Handle(std::string_view ahead) {
+void ServerConnection::Handle(std::string_view pipelined) {
   timer_.cancel();
   EndDelivery();
   close_after_ = !head_.keep_alive;
@@ -277,7 +277,7 @@
       weak_from_this(), std::move(head_), std::move(body_), std::move(hold),
       Clock::now());
   FreeRequest();
-  if (!ahead.empty()) HoldAhead(ahead);
+  if (!pipelined.empty()) HoldPipelined(pipelined);
   ++server_->open_requests_;
   server_->handler_(exchange_);
 }
--- a/net/server_connection.h
+++ b/net/server_connection.h
@@ -59,7 +59,7 @@
   // Closes a connection that no request of is worked on.
   void CloseForRoom() { Drop(); }
   // Frees the memory of a request that is not read yet.
-  void GiveWay();
+  void Evict();
   // Gives up an answer whose caller is too slow.
   void GiveUpDelivery(const char* why);
   // The same for a stream that is not whole yet, from the event loop.
@@ -84,17 +84,17 @@
   void OnBody(std::string_view bytes) override;
   void OnEnd() override {}
 
-  void HoldAhead(std::string_view bytes);
-  void DropAhead();
-  void TakeAhead();
+  void HoldPipelined(std::string_view bytes);
+  void DropPipelined();
+  void TakePipelined();
   void BeginRead(std::string_view bytes);
   void Read(std::string_view bytes);
   // Reserves memory for the request that is read next or now.
   bool Reserve(size_t bytes);
   void ReleaseHold();
   void FreeRequest();
-  // Hands the request on; `ahead` came behind it.
-  void Handle(std::string_view ahead);
+  // Hands the request on; `pipelined` came behind it.
+  void Handle(std::string_view pipelined);
   // Answers a request that can't be read: nothing behind it can be either.
   void Refuse(int status);
   void RefuseForMemory();
@@ -110,7 +110,7 @@
   boost::asio::steady_timer timer_;
   HttpHead head_;
   std::string body_;
-  std::string ahead_;  // bytes behind the request that is worked on
+  std::string pipelined_;  // bytes behind the request that is worked on
   // Of the request that is read next or now; null: none of its bytes came.
   std::shared_ptr<RequestHold> hold_;
   size_t head_memory_ = 0;
@@ -121,7 +121,7 @@
   bool old_caller_ = false;
   bool was_used_ = false;
   bool lacks_memory_ = false;  // for the request that is being read
-  bool too_much_ahead_ = false;
+  bool too_much_pipelined_ = false;
   bool is_closing_ = false;  // once the answer has left
   bool is_given_up_ = false;
   bool is_delivering_ = false;
