HTTP server: requests refused for memory don't return together

What callers saw: all that were refused for want of memory were told to come back after one second, so a crowd's ordinary neighbours returned with it in the same moment. Found by reading the change again.

Cause: the time was a constant. It is now 1, 2 or 3 s in turn.

A new case of own_limits_test holds one of two large requests, sees three refusals with three different times before anything is handed on, the first request answered, and its memory returned. It fails before by its times. 33 cases of the server, the client, slow readers and pipelined requests pass.

--- a/net/server_connection.cc
+++ b/net/server_connection.cc
@@ -17,8 +17,9 @@
 // While the box stops, a connection at rest is kept for a request that is on
 // its way: more than a round trip to a caller.
 constexpr milliseconds kRestWhileDraining{300};
-// When a caller whose request found no memory should come back, in seconds.
-constexpr char kRetryAfter[] = "1";
+// Callers whose requests found no memory come back in turns of a second, up to
+// this, so that they do not come back together.
+constexpr uint64_t kMaxRetryAfterSeconds = 3;
 constexpr int kTimedOut = 408;
 constexpr int kUnavailable = 503;
 
@@ -288,11 +289,16 @@
   head.status = status;
   head.Set("Content-Length", "0");
   head.Set("Connection", "close");
-  if (status == kUnavailable) head.Set("Retry-After", kRetryAfter);
+  if (status == kUnavailable) head.Set("Retry-After", RetryAfter());
   Write(ResponseText(head));
   CloseAfterAnswer();
 }
 
+std::string ServerConnection::RetryAfter() const {
+  uint64_t turn = server_->counts_.refused_requests % kMaxRetryAfterSeconds;
+  return std::to_string(1 + turn);
+}
+
 void ServerConnection::RefuseForMemory() {
   if (is_closing_) return;
   server_->TellNoMemory();
--- a/net/server_connection.h
+++ b/net/server_connection.h
@@ -98,6 +98,8 @@
   // Answers a request that can't be read: nothing behind it can be either.
   void Refuse(int status);
   void RefuseForMemory();
+  // In seconds.
+  std::string RetryAfter() const;
   void Release();
   void LeaveExchange();
   void CloseAfterAnswer();
--- a/net/testing/own_limits_test.cc
+++ b/net/testing/own_limits_test.cc
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -218,6 +219,43 @@
   CHECK(RunUntil(&loop, [&] { return server.http.connections() <= 1; }));
 }
 
+TEST_CASE("requests without memory are refused and come back in turns") {
+  io_context loop;
+  std::vector<std::shared_ptr<ServerExchange>> kept;
+  tcp::endpoint endpoint = FreePort(&loop);
+  AsyncHttpServer server(
+      &loop, [&](const auto& exchange) { kept.push_back(exchange); });
+  HttpServerCapacity capacity;
+  capacity.request_bytes = 256UL * 1024;
+  server.SetCapacity(capacity);
+  REQUIRE_FALSE(server.Listen(endpoint));
+  const std::string body(150UL * 1024, 'x');
+  const std::string request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body;
+  HttpConnections callers(&loop, {});
+  std::string address = "127.0.0.1:" + std::to_string(endpoint.port());
+  CollectedAnswer served;
+  callers.Send(address, request, &served);
+  REQUIRE(RunUntil(&loop, [&] { return kept.size() == 1; }));
+  std::set<std::string> times;
+  for (int i = 0; i < 3; ++i) {
+    CollectedAnswer refused;
+    callers.Send(address, request, &refused);
+    REQUIRE(RunUntil(&loop, [&] { return refused.whole; }));
+    CHECK(refused.head.status == 503);
+    CHECK(refused.head.Field("connection") == "close");
+    times.insert(refused.head.Field("retry-after"));
+  }
+  CHECK(times == std::set<std::string>{"1", "2", "3"});
+  CHECK(kept.size() == 1);
+  HttpHead head;
+  head.status = 200;
+  kept.front()->Answer(std::move(head), "ok");
+  CHECK(RunUntil(&loop, [&] { return served.whole; }));
+  kept.clear();
+  CHECK(server.request_bytes() == 0);
+}
+
 TEST_CASE("a caller that reads a byte at a time holds up nobody else") {
   io_context loop;
   constexpr size_t kLarge = 4UL << 20;
