Connections: a peer that reads slowly is told from one that is silent

Cause: TCP_USER_TIMEOUT (2 s) ends a connection whose peer is gone, and also one whose peer acknowledges each probe of its window and keeps it closed.

Change: while bytes are on their way, the connection looks each 500 ms at what the kernel has heard of the peer. As long as it is heard and its window is what holds the bytes back, the option is off, and 2 s without a sign are judged here. The option is back when all has arrived. Callers keep the idle time. Where the kernel tells nothing (no TCP_INFO), nothing changes.

Result: "an endpoint that reads nothing for 3 s gets the whole request" failed on (502 for 200), passes now, for safe and unsafe requests. A silent peer is still given up after 2 s, also one that falls silent behind a closed window (tcp_connection_test).

--- a/net/server_connection.cc
+++ b/net/server_connection.cc
@@ -45,6 +45,8 @@
       reader_(HttpReader::kRequests, ReaderLimits(server->limits_), this),
       timer_(*server->loop_) {
   tcp_->CountPendingIn(server->pending_bytes_);
+  bool are_boxes = server->limits_.unacknowledged_time == kUnacknowledged;
+  if (are_boxes) tcp_->AllowClosedWindow();
 }
 
 ServerConnection::~ServerConnection() { ReleaseHold(); }
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -1,6 +1,11 @@
 // The socket is non-blocking: the loop tells when it is readable, and then
 // one read is made. A write is tried at once and queued only when the kernel
 // takes no more, so that a small answer costs one system call.
+//
+// TCP_USER_TIMEOUT ends a connection whose peer acknowledges nothing for a
+// time, but also one whose peer acknowledges all and takes nothing. So larger
+// writes are watched: while the peer is heard and its window is closed, the
+// option is off, and silence is measured here.
 
 #include "net/tcp_connection.h"
 
@@ -9,8 +14,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <utility>
 #include <vector>
 
+#include "net/tcp_send_state.h"
+
 namespace leverwick {
 namespace {
 
@@ -22,6 +31,11 @@
 constexpr int kProbeIdleSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbes = 2;
+// Every receiver's buffer takes as much at once; a write of this size waits for
+// no window.
+constexpr size_t kUnwatchedBytes = 2048;
+// Several looks before the kernel's option would end a connection.
+constexpr milliseconds kLookInterval{500};
 // A round trip between far data centres, several times over.
 constexpr milliseconds kLinger{500};
 
@@ -52,6 +66,20 @@
 
 bool ParseAddress(const std::string& text, tcp::endpoint* address) {
   size_t colon = text.rfind(':');
+struct TcpConnection::PeerWatch {
+  explicit PeerWatch(const Socket::executor_type& executor) : timer(executor) {}
+
+  boost::asio::steady_timer timer;
+  bool is_armed = false;
+  bool uses_kernel_timeout = true;
+  std::optional<uint32_t> segments_received;  // at the last look
+  TimePoint heard_at{};  // or nothing was awaited of the peer
+};
+
+TcpConnection::TcpConnection(Socket socket) : socket_(std::move(socket)) {}
+
+TcpConnection::~TcpConnection() { SetPending(0); }
+
   if (colon == std::string::npos) return false;
   boost::system::error_code error;
   auto ip = boost::asio::ip::make_address(text.substr(0, colon), error);
@@ -135,6 +163,57 @@
     std::string_view rest = queue_.front().bytes().substr(front_offset_);
     boost::system::error_code error;
     size_t size = socket_.write_some(
+  if (size > kUnwatchedBytes || !queue_.empty()) WatchPeer();
+}
+
+void TcpConnection::WatchPeer() {
+  if (!allows_closed_window_ || !socket_.is_open()) return;
+  if (watch_ == nullptr) {
+    watch_ = std::make_unique<PeerWatch>(socket_.get_executor());
+  }
+  if (watch_->is_armed) return;
+  watch_->heard_at = Clock::now();
+  watch_->segments_received.reset();
+  AwaitNextLook();
+}
+
+void TcpConnection::AwaitNextLook() {
+  watch_->is_armed = true;
+  watch_->timer.expires_after(kLookInterval);
+  watch_->timer.async_wait([weak = weak_from_this()](auto error) {
+    auto self = weak.lock();
+    if (self == nullptr) return;
+    self->watch_->is_armed = false;
+    if (!error && self->socket_.is_open()) self->LookAtPeer();
+  });
+}
+
+void TcpConnection::LookAtPeer() {
+  auto state = ReadTcpSendState(socket_.native_handle());
+  if (!state) return;  // the kernel's option stays in force
+  bool is_delivered =
+      queue_.empty() && !state->has_unsent && !state->is_awaiting_ack;
+  if (is_delivered) return UseKernelTimeout(true);
+  PeerWatch& watch = *watch_;
+  bool has_answered = watch.segments_received &&
+                      *watch.segments_received != state->segments_received;
+  watch.segments_received = state->segments_received;
+  bool is_heard = has_answered || !state->is_awaiting_ack;
+  if (is_heard) watch.heard_at = Clock::now();
+  if (is_heard && state->has_unsent) UseKernelTimeout(false);
+  bool is_silent = Clock::now() - watch.heard_at >= kUnacknowledged;
+  if (is_silent && !watch.uses_kernel_timeout) {
+    return Fail(std::make_error_code(std::errc::timed_out));
+  }
+  AwaitNextLook();
+}
+
+void TcpConnection::UseKernelTimeout(bool uses) {
+  if (watch_->uses_kernel_timeout == uses) return;
+  watch_->uses_kernel_timeout = uses;
+  milliseconds time = uses ? kUnacknowledged : milliseconds(0);
+  SetOption(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(time.count()));
         boost::asio::buffer(rest.data(), rest.size()), error);
     if (error == boost::asio::error::would_block) return OnWritable();
     if (error) return Fail(error);
@@ -232,7 +311,9 @@
     if (attempt->timed_out) error = boost::asio::error::timed_out;
     if (error) return callback(error, nullptr);
     SetTcpOptions(&attempt->socket);
-    callback({}, std::make_shared<TcpConnection>(std::move(attempt->socket)));
+    auto tcp = std::make_shared<TcpConnection>(std::move(attempt->socket));
+    tcp->AllowClosedWindow();
+    callback({}, tcp);
   });
 }
 
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -40,8 +40,8 @@
     virtual void OnDrained() {}
   };
 
-  explicit TcpConnection(Socket socket) : socket_(std::move(socket)) {}
-  ~TcpConnection() { SetPending(0); }
+  explicit TcpConnection(Socket socket);
+  ~TcpConnection();
   TcpConnection(const TcpConnection&) = delete;
   TcpConnection& operator=(const TcpConnection&) = delete;
 
@@ -52,6 +52,12 @@
   // The same without a copy; the string may be in use elsewhere too.
   void Write(std::shared_ptr<const std::string> bytes);
 
+  // From now on a peer that acknowledges what it gets may close its window for
+  // any time; whoever awaits it bounds that. One that is silent for
+  // kUnacknowledged still ends the connection. For connections whose options
+  // were set with kUnacknowledged.
+  void AllowClosedWindow() { allows_closed_window_ = true; }
+
   // Lets the queued bytes leave, then closes; the observer is not told.
   void CloseWhenDrained();
   void Close();
@@ -78,12 +84,21 @@
     std::string_view bytes() const { return shared ? *shared : own; }
   };
 
+  // How the peer answers while bytes are on their way to it.
+  struct PeerWatch;
+
   void Queue(Piece piece);
   void SetPending(size_t bytes);
   void AwaitBytes();
   void ReadBytes();
   void WriteSome();
   void OnWritable();
+  // Looks at the peer's acknowledgements until all bytes have arrived.
+  void WatchPeer();
+  void AwaitNextLook();
+  void LookAtPeer();
+  // TCP_USER_TIMEOUT, or none.
+  void UseKernelTimeout(bool uses);
   void Linger();
   void Fail(std::error_code why);
 
@@ -98,6 +113,9 @@
   bool awaiting_bytes_ = false;
   bool paused_ = false;
   bool close_when_drained_ = false;
+  bool allows_closed_window_ = false;
+  // Null: the peer has not been watched yet.
+  std::unique_ptr<PeerWatch> watch_;
 };
 
 // Connects within `limit` and gives an open connection or an error.
