HTTP client: a late answer isn't taken for that of a caller's own retry

Change: a connection remembers the ids of its latest 64 requests and carries none of them again. This holds for attempts, resumption, forwarding and the caller's retry, as all go through the same choice of a connection.

"sends of one request use different connections" asks for three connections now, not two: the second send of an id follows another request.

--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cstdlib>
+#include <functional>
+#include <vector>
 
 #include "leverwick/result.h"
 
@@ -17,6 +19,9 @@
 // A server's own time for idle connections is used up to this share.
 constexpr double kIdleShare = 0.6;
 
+// Requests of one connection whose late answers are told from others.
+constexpr size_t kRememberedIds = 64;
+
 // The "timeout" of a Keep-Alive field; zero when it names none.
 milliseconds KeepAliveTime(const HttpHead& head) {
   const std::string& field = head.Field("keep-alive");
@@ -64,7 +69,7 @@
     tcp_->ForgetSent();
     tcp_->ResumeReading();
     ClientRequest request = std::move(call_->request_);
-    last_id_ = std::move(request.id);
+    RecordId(request.id);
     tcp_->Write(std::move(request.head));
     if (request.body) tcp_->Write(std::move(request.body));
   }
@@ -85,8 +90,12 @@
   bool is_open() const { return tcp_->is_open(); }
   bool is_kept() const { return calls_ > 1; }
   TimePoint usable_until() const { return usable_until_; }
-  // Of the newest request that has one.
-  const std::string& last_id() const { return last_id_; }
+  // Whether a request of this id was among the latest on it.
+  bool HasCarried(const std::string& id) const {
+    size_t hash = std::hash<std::string>()(id);
+    return std::find(id_hashes_.begin(), id_hashes_.end(), hash) !=
+           id_hashes_.end();
+  }
 
  private:
   void OnBytes(std::string_view bytes) override {
@@ -121,6 +130,13 @@
     if (named.count() > 0) {
       auto share = static_cast<double>(named.count()) * kIdleShare;
       time = std::min(time, milliseconds(static_cast<int64_t>(share)));
+  void RecordId(const std::string& id) {
+    if (id.empty()) return;
+    bool is_full = id_hashes_.size() >= kRememberedIds;
+    if (is_full) id_hashes_.erase(id_hashes_.begin());
+    id_hashes_.push_back(std::hash<std::string>()(id));
+  }
+
     }
     usable_time_ = time;
   }
@@ -190,7 +206,9 @@
   HttpReader reader_;
   std::shared_ptr<ClientCall> call_;
   size_t calls_ = 0;
-  std::string last_id_;
+  // Of the latest requests that have ids, the oldest first. Two ids with one
+  // hash only cost a new connection.
+  std::vector<size_t> id_hashes_;
   bool reusable_ = true;
   bool dropping_ = false;  // reading an answer that is not this request's
   milliseconds usable_time_{0};
@@ -284,7 +302,7 @@
   for (size_t left = kept.size(); left > 0; --left) {
     auto connection = kept[left - 1];
     bool is_usable = connection->is_open() && connection->usable_until() > now;
-    bool has_carried_it = !id.empty() && connection->last_id() == id;
+    bool has_carried_it = !id.empty() && connection->HasCarried(id);
     if (is_usable && has_carried_it) continue;
     kept.erase(kept.begin() + static_cast<ptrdiff_t>(left - 1));
     if (is_usable) return connection;
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -38,8 +38,8 @@
   std::string head;
   std::shared_ptr<const std::string> body = nullptr;
   // Names the request in answers, so that a late answer to an earlier send
-  // can't be told from the one that is awaited: sends of one id use different
-  // connections. Empty: any connection.
+  // can't be told from the one that is awaited: sends of one id, the caller's
+  // own retries among them, use different connections. Empty: any connection.
   std::string id = "";
 };
 
@@ -146,7 +146,8 @@
  private:
   friend class ClientConnection;
 
-  // A kept connection that has not carried the request of this id; null: none.
+  // A kept connection that has not carried the request of this id, among the
+  // latest that it carried; null: none.
   std::shared_ptr<ClientConnection> TakeIdle(const std::string& address,
                                              const std::string& id);
   void Keep(const std::shared_ptr<ClientConnection>& connection);
--- a/net/testing/async_http_test.cc
+++ b/net/testing/async_http_test.cc
@@ -59,12 +59,14 @@
   send("a");
   send("a");
   CHECK(server.connections.size() == 2);
-  // Others use both, and so does the same request after them.
+  // Others use both; a late answer may still come behind theirs.
   send("b");
   send("c");
+  CHECK(server.connections.size() == 2);
   send("a");
+  CHECK(server.connections.size() == 3);
   send("");
-  CHECK(server.connections.size() == 2);
+  CHECK(server.connections.size() == 3);
 }
 
 TEST_CASE("while too many connections are open none is kept") {
