Planned stop: requests that are open at its bound get an answer

What callers saw: a request that came in the first 2.8 s of a planned stop, in calm, and whose answer took longer than the bound was cut without an answer, unsafe ones among them (LOST). With a bound below 2.8 s every late request was.

Cause: at the bound the process ended with what was still open.

Change: 350 ms before the bound each open request is answered: 503 if it can't have run, 502 with an unknown outcome else; a stream that has begun is broken off. 150 ms are left for the answers to leave. Requests are taken for 2.8 s, or half of the bound if that is less. They count as cut, as before.

Result: front_stop_test, twelve callers (safe, unsafe, streamed) that use their connections until the process is gone: "long answers" failed on (no answer to requests that were passed on), all three cases pass now.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -204,6 +204,11 @@
   }
 }
 
+void Relay::EndRequests() {
+  auto open = open_;  // a request that ends leaves the set
+  for (const auto& request : open) request->EndForStop();
+}
+
 bool Relay::SetConfig(ServiceConfig config) {
   if (config_ != nullptr && config.version() <= config_->version()) {
     return false;
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -121,6 +121,8 @@
   // Refuses requests from now on with a result that says that they have not
   // run. For a planned stop.
   void StopIntake() { intake_ = false; }
+  // Answers all open requests now: the process ends before their endpoints do.
+  void EndRequests();
   size_t open_requests() const { return open_.size(); }
 
   // Returns the metrics as text, with the current values of the gauges.
--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -17,6 +17,10 @@
 constexpr milliseconds kNewConnectionsEnd{2600};
 // What is left of the stop's bound for ending the process itself.
 constexpr milliseconds kEndMargin{350};
+// For the answers to requests that are ended at the bound to leave.
+constexpr milliseconds kLastAnswers{150};
+// Requests are taken for this part of a short bound.
+constexpr int kIntakeShare = 2;
 // How often a stopping box looks whether it is quiet.
 constexpr milliseconds kQuietInterval{50};
 
@@ -116,19 +120,30 @@
 
 void RelayServer::CheckQuiet() {
   auto took = Clock::now() - stop_began_;
-  if (took > options_.intake) relay_->StopIntake();
+  milliseconds intake =
+      std::min(options_.intake, options_.stop_bound / kIntakeShare);
+  if (took > intake) relay_->StopIntake();
+  auto left = options_.stop_bound - kEndMargin - took;
+  if (left <= milliseconds(0)) EndRequests();
   size_t open = std::max(callers_.open_requests(), relay_->open_requests());
-  bool quiet =
+  bool is_quiet =
       took > kNewConnectionsEnd && open == 0 && callers_.connections() == 0;
-  if (quiet || took > options_.stop_bound - kEndMargin) {
-    auto cut = static_cast<int>(open + callers_.undelivered());
-    kLog.Info("Planned stop ends.", {{"cut_requests", std::to_string(cut)}});
-    return stopped_(cut);
-  }
+  if (is_quiet || left <= -kLastAnswers) return EndStop();
   stop_timer_.expires_after(kQuietInterval);
   stop_timer_.async_wait([this](auto error) {
     if (!error) CheckQuiet();
   });
 }
 
+void RelayServer::EndRequests() {
+  cut_ += std::max(callers_.open_requests(), relay_->open_requests());
+  relay_->EndRequests();
+}
+
+void RelayServer::EndStop() {
+  auto cut = static_cast<int>(cut_ + callers_.undelivered());
+  kLog.Info("Planned stop ends.", {{"cut_requests", std::to_string(cut)}});
+  stopped_(cut);
+}
+
 }  // namespace leverwick
--- a/daemon/relay_server.h
+++ b/daemon/relay_server.h
@@ -3,7 +3,8 @@
 // Callers come in at one address; at a second one the platform asks whether
 // this box takes new connections; at a third, metrics are read. A planned stop
 // says "not ready" at once, goes on serving what comes on open and on late
-// connections, and ends when all is quiet or shortly before its bound.
+// connections, and ends when all is quiet or shortly before its bound. What is
+// still open then is answered with a failure.
 //
 //   RelayServer server(&loop, &relay, options);
 //   std::error_code error = server.Start();
@@ -58,6 +59,9 @@
   void AnswerReady(ServerExchange* exchange);
   void AnswerMetrics(ServerExchange* exchange);
   void CheckQuiet();
+  // Answers what is still open shortly before the bound.
+  void EndRequests();
+  void EndStop();
 
   Relay* const relay_;
   const RelayServerOptions options_;
@@ -68,6 +72,7 @@
   boost::asio::steady_timer stop_timer_;
   std::function<void(int)> stopped_;
   bool stopping_ = false;
+  size_t cut_ = 0;  // requests that the stop ended
   TimePoint stop_began_{};
 };
 
--- a/daemon/relayed_request.cc
+++ b/daemon/relayed_request.cc
@@ -365,15 +365,26 @@
   Finish(outcome);
 }
 
+bool RelayedRequest::MayHaveRun() const {
+  bool is_sent = (try_ && try_->call && try_->call->sent()) ||
+                 (forward_ && forward_->call->sent());
+  return is_sent || log_.may_have_run();
+}
+
+void RelayedRequest::EndForStop() {
+  if (finished_) return;
+  if (stream_started_) return BreakStream("stream_cut_by_stop");
+  if (!MayHaveRun()) return AnswerNotRun(Result::kStopping);
+  AnswerOwn(Result::kUnknownOutcome);
+}
+
 void RelayedRequest::OnTimeUp() {
   if (finished_) return;
-  bool sent = (try_ && try_->call && try_->call->sent()) ||
-              (forward_ && forward_->call->sent());
   if (stream_started_) {
     NoteStream(false);
     return BreakStream("stream_timed_out");
   }
-  if (!sent && !log_.may_have_run()) return AnswerNotRun(Result::kQueueTimeout);
+  if (!MayHaveRun()) return AnswerNotRun(Result::kQueueTimeout);
   AnswerOwn(Result::kDeadline);
 }
 
--- a/daemon/relayed_request.h
+++ b/daemon/relayed_request.h
@@ -67,6 +67,10 @@
   bool DropAnswer(uint64_t run);
   // Reads the answer of this run on; false if it is not this request's.
   bool ResumeAnswer(uint64_t run);
+  // Answers the caller now, since the box ends: with a refusal while the
+  // request can't have run, else with a failure. A stream that has begun is
+  // broken off.
+  void EndForStop();
 
  private:
   // Sending.
@@ -186,6 +190,8 @@
   // `own_result`.
   void AnswerFailure(Result own_result);
   void BreakStream(const char* outcome);
+  // Whether an endpoint may be running the request, or may have run it.
+  bool MayHaveRun() const;
   void OnTimeUp();
   void OnCallerLeft();
   void Finish(const char* outcome);
