--- a/platform/json_fields.cc
+++ b/net/json_fields.cc
@@ -1,11 +1,10 @@
 // A field that is null counts as left out.
 
-#include "platform/json_fields.h"
+#include "net/json_fields.h"
 
 #include <cmath>
 
 namespace leverwick {
-namespace platform {
 namespace {
 
 // No limit, weight or time of a record comes near it, and it fits every type
@@ -37,6 +36,14 @@
   return fallback;
 }
 
+uint64_t JsonFields::Whole(const char* name) {
+  const Json::Value* value = Find(name, false);
+  if (value == nullptr) return 0;
+  if (value->isUInt64()) return value->asUInt64();
+  Fail(std::string(name) + ": expected a whole number");
+  return 0;
+}
+
 milliseconds JsonFields::Time(const char* name, milliseconds fallback) {
   double number = Number(name, static_cast<double>(fallback.count()));
   return milliseconds(std::llround(number));
@@ -71,6 +78,15 @@
   return texts;
 }
 
+const Json::Value& JsonFields::Object(const char* name) {
+  static const Json::Value none(Json::objectValue);
+  const Json::Value* value = Find(name, false);
+  if (value == nullptr) return none;
+  if (value->isObject()) return *value;
+  Fail(std::string(name) + ": expected an object");
+  return none;
+}
+
 void JsonFields::Fail(const std::string& problem) {
   if (problem_->empty()) *problem_ = problem;
 }
@@ -83,5 +99,4 @@
   return nullptr;
 }
 
-}  // namespace platform
 }  // namespace leverwick
--- a/platform/json_fields.h
+++ b/net/json_fields.h
@@ -8,18 +8,18 @@
 //   std::string name = fields.Text("name", true);
 //   if (!fields.ok()) ...   // `problem` says why
 
-#ifndef PLATFORM_JSON_FIELDS_H_
-#define PLATFORM_JSON_FIELDS_H_
+#ifndef NET_JSON_FIELDS_H_
+#define NET_JSON_FIELDS_H_
 
 #include <json/json.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "leverwick/time.h"
 
 namespace leverwick {
-namespace platform {
 
 // The object and `problem` must outlive it.
 class JsonFields {
@@ -32,12 +32,16 @@
   std::string Text(const char* name, bool required = false);
   // A finite number from 0 on.
   double Number(const char* name, double fallback);
+  // A whole number from 0 on; 0 when the field is left out.
+  uint64_t Whole(const char* name);
   // A number of milliseconds.
   milliseconds Time(const char* name, milliseconds fallback);
   bool Flag(const char* name, bool fallback);
   // An empty list when the field is left out.
   const Json::Value& List(const char* name);
   std::vector<std::string> Texts(const char* name);
+  // An empty object when the field is left out.
+  const Json::Value& Object(const char* name);
 
   // Notes a problem unless there is one already.
   void Fail(const std::string& problem);
@@ -49,7 +53,6 @@
   std::string* const problem_;
 };
 
-}  // namespace platform
 }  // namespace leverwick
 
-#endif  // PLATFORM_JSON_FIELDS_H_
+#endif  // NET_JSON_FIELDS_H_
