Product's own interface: odd fields of others are errors, not ends

What callers saw: on the product's own interface one entry of a list, one answer or event of an engine, one load or bill with a number out of range or a field of another type ended the process; one value that the parser refuses cost the whole list.

Cause: fields were read without a look at their type; the library throws, and nobody caught it.

Change: every field that others write is read by name and type (JsonFields). An odd entry of a list is left out with a log line. A document that the parser refuses for one value's nesting, range or doubled key is read again with that value bounded.

--- a/daemon/bill_keeper.cc
+++ b/daemon/bill_keeper.cc
@@ -12,6 +12,7 @@
 
 #include "leverwick/bill_encoding.h"
 #include "net/json.h"
+#include "net/json_fields.h"
 #include "net/log.h"
 
 namespace leverwick {
@@ -219,10 +220,15 @@
   if (answer.status == kNotFound) {
     state.state = DispatchState::kNeverSeen;
   } else if (answer.status == kOk && ReadJson(answer.body, &value)) {
-    bool finished = value["state"].asString() == "finished";
+    std::string problem;
+    JsonFields fields(value, &problem);
+    bool finished = fields.Text("state") == "finished";
+    uint64_t prompt_tokens = fields.Whole("prompt_tokens");
+    uint64_t completion_tokens = fields.Whole("completion_tokens");
+    if (!fields.ok()) return state;
     state.state = finished ? DispatchState::kFinished : DispatchState::kRunning;
-    state.prompt_tokens = value["prompt_tokens"].asInt64();
-    state.completion_tokens = value["completion_tokens"].asInt64();
+    state.prompt_tokens = static_cast<int64_t>(prompt_tokens);
+    state.completion_tokens = static_cast<int64_t>(completion_tokens);
   }
   return state;
 }
--- a/daemon/dispatcher.cc
+++ b/daemon/dispatcher.cc
@@ -9,6 +9,7 @@
 #include "daemon/sse.h"
 #include "leverwick/routing.h"
 #include "net/json.h"
+#include "net/json_fields.h"
 #include "net/log.h"
 
 namespace leverwick {
@@ -183,19 +184,28 @@
       !body.isObject()) {
     return Outcome{Result::kFailed, "The engine's answer is not usable."};
   }
-  if (body["id"].asString() != attempt.id) {
+  std::string problem;
+  JsonFields fields(body, &problem);
+  if (fields.Text("id") != attempt.id) {
     log_.Warning("An answer of another request was dropped.",
                  {{"attempt", attempt.id}, {"endpoint", attempt.endpoint}});
     return Outcome{Result::kUnknownOutcome, ""};
   }
-  const Json::Value& choices = body["choices"];
-  if (!choices.isArray() || choices.empty() ||
-      !choices[0]["finish_reason"].isString()) {
-    return Outcome{Result::kShortAnswer, ""};
+  const Json::Value& choices = fields.List("choices");
+  bool is_finished = !choices.empty() && choices[0].isObject() &&
+                     choices[0]["finish_reason"].isString();
+  if (!is_finished) return Outcome{Result::kShortAnswer, ""};
+  JsonFields choice(choices[0], &problem);
+  out->text = JsonFields(choice.Object("message"), &problem).Text("content");
+  JsonFields usage(fields.Object("usage"), &problem);
+  out->prompt_tokens = static_cast<int64_t>(usage.Whole("prompt_tokens"));
+  out->completion_tokens =
+      static_cast<int64_t>(usage.Whole("completion_tokens"));
+  if (!problem.empty()) {
+    log_.Warning("An engine's answer can't be read.",
+                 {{"endpoint", attempt.endpoint}, {"why", problem}});
+    return Outcome{Result::kFailed, "The engine's answer is not usable."};
   }
-  out->text = choices[0]["message"]["content"].asString();
-  out->prompt_tokens = body["usage"]["prompt_tokens"].asInt64();
-  out->completion_tokens = body["usage"]["completion_tokens"].asInt64();
   if (body["confidence"].isNumeric()) {
     out->confidence = body["confidence"].asDouble();
   }
--- a/daemon/platform_watcher.cc
+++ b/daemon/platform_watcher.cc
@@ -15,6 +15,7 @@
 #include "leverwick/digest.h"
 #include "leverwick/slots.h"
 #include "net/json.h"
+#include "net/json_fields.h"
 #include "net/log.h"
 
 namespace leverwick {
@@ -230,10 +231,17 @@
       !ReadJson(answer.body, &value)) {
     return;
   }
+  std::string problem;
+  JsonFields fields(value, &problem);
   LoadReport report;
-  report.running = value["running"].asUInt();
-  report.queued = value["queued"].asUInt();
-  report.leaving = value["leaving"].asBool();
+  report.running = static_cast<unsigned>(fields.Number("running", 0));
+  report.queued = static_cast<unsigned>(fields.Number("queued", 0));
+  report.leaving = fields.Flag("leaving", false);
+  if (!fields.ok()) {
+    log_.Warning("An endpoint's load can't be read.",
+                 {{"endpoint", address}, {"why", problem}});
+    return;
+  }
   node_->endpoints.RecordOwnReport(address, report, Clock::now());
 }
 
--- a/daemon/sse.cc
+++ b/daemon/sse.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 
 #include "net/json.h"
+#include "net/json_fields.h"
 
 namespace leverwick {
 namespace {
@@ -41,17 +42,21 @@
   if (chunk->done) return true;
   Json::Value value;
   if (!ReadJson(chunk->data, &value) || !value.isObject()) return false;
-  chunk->id = value["id"].asString();
-  const Json::Value& usage = value["usage"];
-  chunk->has_usage = usage.isObject();
-  if (chunk->has_usage) {
-    chunk->prompt_tokens = usage["prompt_tokens"].asInt64();
-    chunk->completion_tokens = usage["completion_tokens"].asInt64();
-  }
-  if (!value["choices"].isArray() || value["choices"].empty()) return true;
-  const Json::Value& choice = value["choices"][0];
-  chunk->content = choice["delta"]["content"].asString();
-  chunk->finished = choice["finish_reason"].isString();
+  std::string problem;
+  JsonFields fields(value, &problem);
+  chunk->id = fields.Text("id");
+  chunk->has_usage = value["usage"].isObject();
+  JsonFields usage(fields.Object("usage"), &problem);
+  chunk->prompt_tokens = static_cast<int64_t>(usage.Whole("prompt_tokens"));
+  chunk->completion_tokens =
+      static_cast<int64_t>(usage.Whole("completion_tokens"));
+  const Json::Value& choices = fields.List("choices");
+  if (choices.empty()) return problem.empty();
+  JsonFields choice(choices[0], &problem);
+  JsonFields delta(choice.Object("delta"), &problem);
+  chunk->content = delta.Text("content");
+  if (!problem.empty()) return false;
+  chunk->finished = choices[0]["finish_reason"].isString();
   return true;
 }
 
--- a/net/json.h
+++ b/net/json.h
@@ -17,6 +17,11 @@
 // False when the text is not one JSON value; refuses duplicate keys.
 bool ReadJson(const std::string& text, Json::Value* value);
 
+// The same for a list that others write entries of: an entry that is nested too
+// deep, has a number out of range or a key twice costs no other. Such a value
+// reads as null, such a number as text, such a key as its last value.
+bool ReadListJson(const std::string& text, Json::Value* value);
+
 std::string MessageToJson(const google::protobuf::Message& message);
 
 // False when the text doesn't fit the message; unknown fields are ignored, so
--- a/net/operator_client.cc
+++ b/net/operator_client.cc
@@ -9,6 +9,7 @@
 #include "leverwick/bill_encoding.h"
 #include "leverwick/digest.h"
 #include "net/json.h"
+#include "net/json_fields.h"
 
 namespace leverwick {
 namespace {
@@ -99,8 +100,10 @@
   HttpResult result = client.Call("GET", "/status", "", timeout_);
   Json::Value value;
   if (result.error || !ReadJson(result.body, &value)) return state;
+  std::string problem;
+  state.next_offset = JsonFields(value, &problem).Whole("next_offset");
+  if (!problem.empty()) return state;
   state.reached = true;
-  state.next_offset = value["next_offset"].asUInt64();
   state.in_force = state.next_offset > offset;
   return state;
 }
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -5,8 +5,12 @@
 
 #include <json/json.h>
 
+#include <utility>
+
 #include "leverwick/result.h"
 #include "net/json.h"
+#include "net/json_fields.h"
+#include "net/log.h"
 
 namespace leverwick {
 namespace {
@@ -14,37 +18,66 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
-void ReadRecords(const Json::Value& value, TailReply* reply) {
-  reply->set_first(value["first"].asUInt64());
-  reply->set_next(value["next"].asUInt64());
-  for (const Json::Value& record : value["records"]) {
+const Log kLog("platform-client");
+
+// An answer of the platform. False when it can't be read.
+bool ReadRecords(const Json::Value& value, TailReply* reply) {
+  std::string problem;
+  JsonFields fields(value, &problem);
+  reply->set_first(fields.Whole("first"));
+  reply->set_next(fields.Whole("next"));
+  for (const Json::Value& item : fields.List("records")) {
+    JsonFields record(item, &problem);
     TailRecord* tail = reply->add_records();
-    tail->set_offset(record["offset"].asUInt64());
-    tail->set_time_ms(record["time_ms"].asInt64());
-    tail->set_data(record["data"].asString());
+    tail->set_offset(record.Whole("offset"));
+    tail->set_time_ms(static_cast<int64_t>(record.Whole("time_ms")));
+    tail->set_data(record.Text("data"));
   }
+  return problem.empty();
 }
 
-ListedBox ReadBox(const Json::Value& value) {
+ListedBox ReadBox(JsonFields* fields) {
   ListedBox box;
-  box.life = value["life"].asString();
-  box.data_centre = value["data_centre"].asString();
-  box.callers = value["callers"].asString();
-  box.control = value["control"].asString();
-  box.leaving = value["leaving"].asBool();
+  box.life = fields->Text("life");
+  box.data_centre = fields->Text("data_centre");
+  box.callers = fields->Text("callers");
+  box.control = fields->Text("control");
+  box.leaving = fields->Flag("leaving", false);
   return box;
 }
 
-ListedEndpoint ReadEndpoint(const Json::Value& value) {
+ListedEndpoint ReadEndpoint(JsonFields* fields) {
   ListedEndpoint endpoint;
-  endpoint.address = value["address"].asString();
-  endpoint.target = value["target"].asString();
-  endpoint.data_centre = value["data_centre"].asString();
-  endpoint.max_in_flight = value["places"].asUInt();
-  endpoint.leaving = value["leaving"].asBool();
+  endpoint.address = fields->Text("address");
+  endpoint.target = fields->Text("target");
+  endpoint.data_centre = fields->Text("data_centre");
+  endpoint.max_in_flight = static_cast<unsigned>(fields->Number("places", 0));
+  endpoint.leaving = fields->Flag("leaving", false);
   return endpoint;
 }
 
+RatingResult ReadRating(JsonFields* fields) {
+  std::string request_id = fields->Text("request_id");
+  return {request_id, fields->Number("rating", 0)};
+}
+
+// Others write these lists, so one entry that can't be read costs no other.
+template <typename Entry>
+void ReadEntries(const Json::Value& items, Entry (*read)(JsonFields*),
+                 std::vector<Entry>* entries) {
+  for (const Json::Value& item : items) {
+    std::string problem;
+    JsonFields fields(item, &problem);
+    Entry entry = read(&fields);
+    if (problem.empty()) {
+      entries->push_back(std::move(entry));
+      continue;
+    }
+    kLog.Warning("A listed entry can't be read; it is left out.",
+                 {{"why", problem}});
+  }
+}
+
 }  // namespace
 
 std::error_code PlatformClient::Json(const std::string& method,
@@ -70,7 +103,9 @@
   if (result.status != kOk) return Result::kRefused;
   ::Json::Value value;
   if (!ReadJson(result.body, &value)) return Result::kAppendUnknown;
-  *offset = value["offset"].asUInt64();
+  std::string problem;
+  *offset = JsonFields(value, &problem).Whole("offset");
+  if (!problem.empty()) return Result::kAppendUnknown;
   return {};
 }
 
@@ -87,7 +122,7 @@
   ::Json::Value value;
   if (!ReadJson(answer, &value)) return Result::kBadResponse;
   reply->Clear();
-  ReadRecords(value, reply);
+  if (!ReadRecords(value, reply)) return Result::kBadResponse;
   return error;
 }
 
@@ -110,13 +145,14 @@
   std::error_code error = Json("GET", path, "", timeout_, &answer);
   if (error) return error;
   ::Json::Value value;
-  if (!ReadJson(answer, &value)) return Result::kBadResponse;
-  for (const ::Json::Value& box : value["boxes"]) {
-    list->boxes.push_back(ReadBox(box));
-  }
-  for (const ::Json::Value& endpoint : value["endpoints"]) {
-    list->endpoints.push_back(ReadEndpoint(endpoint));
-  }
+  if (!ReadListJson(answer, &value)) return Result::kBadResponse;
+  std::string problem;
+  JsonFields fields(value, &problem);
+  const ::Json::Value& boxes = fields.List("boxes");
+  const ::Json::Value& endpoints = fields.List("endpoints");
+  if (!fields.ok()) return Result::kBadResponse;
+  ReadEntries(boxes, &ReadBox, &list->boxes);
+  ReadEntries(endpoints, &ReadEndpoint, &list->endpoints);
   return {};
 }
 
@@ -151,12 +187,13 @@
   std::error_code error = Json("GET", path, "", timeout_, &answer);
   if (error) return error;
   ::Json::Value value;
-  if (!ReadJson(answer, &value)) return Result::kBadResponse;
-  *next = value["next"].asUInt64();
-  for (const ::Json::Value& rating : value["ratings"]) {
-    results->push_back(RatingResult{rating["request_id"].asString(),
-                                    rating["rating"].asDouble()});
-  }
+  if (!ReadListJson(answer, &value)) return Result::kBadResponse;
+  std::string problem;
+  JsonFields fields(value, &problem);
+  *next = fields.Whole("next");
+  const ::Json::Value& ratings = fields.List("ratings");
+  if (!fields.ok()) return Result::kBadResponse;
+  ReadEntries(ratings, &ReadRating, results);
   return {};
 }
 
