Readers of answers: what others write without end is broken off

What operators of another system saw: a replica wrote bytes that were no answer, without end; the machine kept them and ran out of memory. Here, from endpoints, interim answers, chunk extensions, trailers and answers of other requests took a whole core for as long as the request had time; answers of the store, the interface for duties, other boxes and engines (product's own interface) were kept whole.

--- a/daemon/scale_controller.cc
+++ b/daemon/scale_controller.cc
@@ -36,7 +36,7 @@
       relay_(relay),
       box_(std::move(box)),
       metrics_(metrics),
-      connections_(loop, HttpConnectionsOptions()) {}
+      connections_(loop, ShortAnswerOptions()) {}
 
 milliseconds ScaleController::TellInterval() const {
   size_t factor =
--- a/daemon/shared_log.cc
+++ b/daemon/shared_log.cc
@@ -28,11 +28,12 @@
 // each reader.
 constexpr size_t kLargeFleet = 250;
 // Of what another box passes on in one answer.
-constexpr uint64_t kMaxInflated = 256UL << 20;
+constexpr uint64_t kMaxInflated = 32UL << 20;
 
 HttpConnectionsOptions ConnectionOptions() {
   HttpConnectionsOptions options;
   options.connect_timeout = kConnectTime;
+  options.answer_limits.body_bytes = kMaxInflated;
   return options;
 }
 
--- a/daemon/usage_reporter.cc
+++ b/daemon/usage_reporter.cc
@@ -41,7 +41,7 @@
       calls_(calls),
       options_(options),
       metrics_(metrics),
-      connections_(loop, HttpConnectionsOptions()),
+      connections_(loop, ShortAnswerOptions()),
       counter_(options.usage),
       ledger_(options.usage),
       names_({options.box}) {}
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -22,6 +22,11 @@
 // Requests of one connection whose late answers are told from others.
 constexpr size_t kRememberedIds = 64;
 
+// Of answers that belong to no call, one behind another, while one is awaited:
+// more than any whole answer that a server may send twice.
+constexpr size_t kMaxDroppedBytes = 16UL << 20;
+constexpr int kMaxDroppedAnswers = 64;
+
 // The "timeout" of a Keep-Alive field; zero when it names none.
 milliseconds KeepAliveTime(const HttpHead& head) {
   const std::string& field = head.Field("keep-alive");
@@ -65,6 +70,8 @@
     call_->connection_ = shared_from_this();
     reader_.Reset();
     reusable_ = true;
+    dropped_bytes_ = 0;
+    dropped_answers_ = 0;
     ++calls_;
     tcp_->ForgetSent();
     tcp_->ResumeReading();
@@ -104,9 +111,13 @@
     while (!bytes.empty() && call_ != nullptr) {
       size_t used = 0;
       if (!reader_.Feed(bytes, &used)) return Fail({}, true);
-      bytes.remove_prefix(std::min(used, bytes.size()));
+      used = std::min(used, bytes.size());
+      if (dropping_) dropped_bytes_ += used;
+      if (dropped_bytes_ > kMaxDroppedBytes) return Fail({}, true);
+      bytes.remove_prefix(used);
       if (!reader_.done()) return;
       if (dropping_) {
+        if (++dropped_answers_ > kMaxDroppedAnswers) return Fail({}, true);
         reader_.Reset();
         continue;
       }
@@ -116,6 +127,13 @@
     }
   }
 
+  void RecordId(const std::string& id) {
+    if (id.empty()) return;
+    bool is_full = id_hashes_.size() >= kRememberedIds;
+    if (is_full) id_hashes_.erase(id_hashes_.begin());
+    id_hashes_.push_back(std::hash<std::string>()(id));
+  }
+
   void OnHead(HttpHead head) override {
     if (call_ == nullptr) return;
     dropping_ = !call_->observer_->OnAnswerHead(head);
@@ -130,13 +148,6 @@
     if (named.count() > 0) {
       auto share = static_cast<double>(named.count()) * kIdleShare;
       time = std::min(time, milliseconds(static_cast<int64_t>(share)));
-  void RecordId(const std::string& id) {
-    if (id.empty()) return;
-    bool is_full = id_hashes_.size() >= kRememberedIds;
-    if (is_full) id_hashes_.erase(id_hashes_.begin());
-    id_hashes_.push_back(std::hash<std::string>()(id));
-  }
-
     }
     usable_time_ = time;
   }
@@ -210,7 +221,9 @@
   // hash only cost a new connection.
   std::vector<size_t> id_hashes_;
   bool reusable_ = true;
-  bool dropping_ = false;  // reading an answer that is not this request's
+  bool dropping_ = false;     // reading an answer that is not this request's
+  size_t dropped_bytes_ = 0;  // during this call
+  int dropped_answers_ = 0;
   milliseconds usable_time_{0};
   TimePoint usable_until_{};
   const std::shared_ptr<size_t> open_;  // connections of the owner
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -103,6 +103,13 @@
   ConnectFunction connect = ConnectTcp;
 };
 
+// For servers whose answers are short; larger ones are broken off.
+inline HttpConnectionsOptions ShortAnswerOptions() {
+  HttpConnectionsOptions options;
+  options.answer_limits.body_bytes = 64UL * 1024;
+  return options;
+}
+
 class HttpConnections {
  public:
   HttpConnections(boost::asio::io_context* loop,
--- a/net/endpoint_client.cc
+++ b/net/endpoint_client.cc
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 
 #include "net/http_codec.h"
@@ -17,6 +18,11 @@
 constexpr size_t kMostIdlePerAddress = 64;
 constexpr long kBufferBytes = 4096;
 constexpr int kServerError = 500;
+// Of all status lines, fields and trailers of a call.
+constexpr size_t kMaxHeadBytes = 64UL * 1024;
+// Of the bodies of all calls under way, so that an endpoint which writes
+// without end does not fill the memory of the box.
+constexpr size_t kMaxHeldBytes = 64UL << 20;
 
 void InitLibrary() {
   static std::once_flag once;
@@ -34,8 +40,18 @@
   EndpointAnswer* answer;
   CURL* handle;
   TimePoint last_data;
+  std::atomic<size_t>* held_bytes;  // of all calls
+  size_t own_bytes = 0;             // held of this one
+  size_t head_bytes = 0;
   bool stopped = false;
   bool stalled = false;
+
+  bool Hold(const char* data, size_t size) {
+    own_bytes += size;
+    if ((*held_bytes += size) > kMaxHeldBytes) return false;
+    answer->body.append(data, size);
+    return true;
+  }
 };
 
 int StatusOf(CURL* handle) {
@@ -49,8 +65,7 @@
   transfer->last_data = Clock::now();
   bool good = StatusOf(transfer->handle) < 300;
   if (!transfer->call->on_data || !good) {
-    transfer->answer->body.append(data, size);
-    return size;
+    return transfer->Hold(data, size) ? size : 0;
   }
   if (transfer->call->on_data(data, size)) return size;
   transfer->stopped = true;
@@ -68,7 +83,9 @@
   constexpr size_t kEndCall = 0;
   auto* transfer = static_cast<Transfer*>(user);
   std::string line(data, size);
-  if (!IsHeadLine(line)) return kEndCall;
+  transfer->head_bytes += size;
+  bool is_too_long = transfer->head_bytes > kMaxHeadBytes;
+  if (is_too_long || !IsHeadLine(line)) return kEndCall;
   std::transform(line.begin(), line.end(), line.begin(), ::tolower);
   if (line.rfind("x-started: false", 0) == 0) {
     transfer->answer->not_started = true;
@@ -146,6 +163,7 @@
 struct EndpointClient::Pool {
   std::mutex mutex;
   std::map<std::string, std::vector<CURL*>> idle;
+  std::atomic<size_t> held_bytes{0};
 
   CURL* Take(const std::string& address) {
     std::lock_guard<std::mutex> lock(mutex);
@@ -184,10 +202,11 @@
   EndpointAnswer answer;
   CURL* handle = pool_->Take(call.address);
   if (handle == nullptr) return answer;
-  Transfer transfer{&call, &answer, handle, Clock::now()};
+  Transfer transfer{&call, &answer, handle, Clock::now(), &pool_->held_bytes};
   curl_slist* headers = MakeHeaders(call);
   SetOptions(handle, call, &transfer, headers);
   CURLcode code = curl_easy_perform(handle);
+  pool_->held_bytes -= transfer.own_bytes;
   answer.kind = KindOf(handle, code, transfer);
   answer.status = StatusOf(handle);
   char* type = nullptr;
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -18,7 +18,7 @@
 
 constexpr size_t kMostIdle = 16;
 constexpr size_t kReadBytes = 16384;
-constexpr long long kLargestAnswer = 256LL << 20;
+constexpr long long kLargestAnswer = 64LL << 20;
 
 std::string RequestText(const std::string& method, const std::string& path,
                         const std::string& host, const std::string& body,
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -19,6 +19,8 @@
 
 constexpr int kSwitchingProtocols = 101;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+// A chunk of one byte, whose size has leading zeros, and room to spare.
+constexpr uint64_t kMaxFramingPerByte = 32;
 
 char Lower(char c) { return c >= 'A' && c <= 'Z' ? char(c + 32) : c; }
 
@@ -176,6 +178,10 @@
   virtual bool has_head() const = 0;
   // Whether the message is a response that another one follows.
   virtual bool is_interim() const = 0;
+  uint64_t body_bytes() const { return body_bytes_; }
+
+ protected:
+  uint64_t body_bytes_ = 0;  // read so far
 };
 
 template <bool kIsRequest>
@@ -235,12 +241,14 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
                          beast::error_code&) override {}
   std::size_t on_body_impl(View body, beast::error_code&) override {
+    body_bytes_ += body.size();
     observer_->OnBody({body.data(), body.size()});
     return body.size();
   }
   void on_chunk_header_impl(std::uint64_t, View, beast::error_code&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t, View body,
                                  beast::error_code&) override {
+    body_bytes_ += body.size();
     observer_->OnBody({body.data(), body.size()});
     return body.size();
   }
@@ -261,6 +269,11 @@
 HttpReader::~HttpReader() = default;
 
 void HttpReader::Reset() {
+  ResetParser();
+  framing_bytes_ = 0;
+}
+
+void HttpReader::ResetParser() {
   if (kind_ == kRequests) {
     parser_ = std::make_unique<Parser<true>>(limits_, observer_);
   } else {
@@ -290,7 +303,7 @@
   size_t from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
   while (Parse(bytes, from, &taken) && parser_->done() &&
          parser_->is_interim()) {
-    Reset();
+    ResetParser();
     from = taken;
   }
   *used = taken - before;
@@ -305,8 +318,11 @@
   }
   while (*taken < bytes.size() && !parser_->done()) {
     beast::error_code error;
+    bool had_head = parser_->has_head();
+    uint64_t body_before = parser_->body_bytes();
     size_t size = parser_->Put(bytes.substr(*taken), &error);
     *taken += size;
+    CountFraming(size, had_head, body_before);
     if (error == http::error::need_more) {
       // What is left belongs to a line that is not whole yet.
       held_.assign(bytes.substr(*taken));
@@ -320,6 +336,16 @@
   return error_ == kNone;
 }
 
+void HttpReader::CountFraming(size_t taken, bool had_head,
+                              uint64_t body_before) {
+  bool is_final_head = !had_head && !parser_->is_interim();
+  if (is_final_head) return;
+  uint64_t body = parser_->body_bytes();
+  framing_bytes_ += taken - (body - body_before);
+  uint64_t most = limits_.head_bytes + kMaxFramingPerByte * body;
+  if (framing_bytes_ > most) error_ = kHeadTooLarge;
+}
+
 bool HttpReader::Closed() {
   if (done() || !any_read()) return true;
   beast::error_code error;
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -5,7 +5,9 @@
 // is not exactly "chunked", two hosts. It also refuses what RFC 9110 does not
 // allow: statuses outside 100 to 599, field names that are no tokens, and
 // fields of a response that go on in a second line. Interim responses are read
-// and dropped, but for 101, since nobody asks for another protocol.
+// and dropped, but for 101, since nobody asks for another protocol. Interim
+// responses, chunk headers and trailers of one message are bounded in sum: a
+// server that writes them without end is given up.
 //
 //   HttpReader reader(HttpReader::kResponses, limits, &observer);
 //   size_t used;
@@ -109,6 +111,9 @@
   class Parser;
   class Base;
 
+  void ResetParser();
+  // Counts bytes that the parser took; they are framing but for the body.
+  void CountFraming(size_t taken, bool had_head, uint64_t body_before);
   // Passes bytes to the parser, up to the end of a message at the most. The end
   // of a head that is not whole yet is looked for behind `from`.
   bool Parse(std::string_view bytes, size_t from, size_t* taken);
@@ -118,6 +123,8 @@
   Observer* const observer_;
   std::unique_ptr<Base> parser_;
   std::string held_;  // bytes of a head that is not whole yet
+  // Of the message, but for its head and body.
+  uint64_t framing_bytes_ = 0;
   Error error_ = kNone;
 };
 
--- a/net/tcp_connection.cc
+++ b/net/tcp_connection.cc
@@ -38,6 +38,8 @@
 constexpr milliseconds kLookInterval{500};
 // A round trip between far data centres, several times over.
 constexpr milliseconds kLinger{500};
+// Of what still comes meanwhile and is dropped.
+constexpr size_t kMaxLingerBytes = 1UL << 20;
 
 // On the heap: thread-local arrays are taken from every thread's stack, also
 // of those that never read here, and CivetWeb's workers have small ones.
@@ -64,8 +66,6 @@
             static_cast<int>(unacknowledged.count()));
 }
 
-bool ParseAddress(const std::string& text, tcp::endpoint* address) {
-  size_t colon = text.rfind(':');
 struct TcpConnection::PeerWatch {
   explicit PeerWatch(const Socket::executor_type& executor) : timer(executor) {}
 
@@ -80,6 +80,8 @@
 
 TcpConnection::~TcpConnection() { SetPending(0); }
 
+bool ParseAddress(const std::string& text, tcp::endpoint* address) {
+  size_t colon = text.rfind(':');
   if (colon == std::string::npos) return false;
   boost::system::error_code error;
   auto ip = boost::asio::ip::make_address(text.substr(0, colon), error);
@@ -120,7 +122,12 @@
   if (error == boost::asio::error::eof) return Fail({});
   if (error) return Fail(error);
   auto self = shared_from_this();
-  if (observer_ != nullptr) observer_->OnBytes({buffer.data(), size});
+  if (observer_ != nullptr) {
+    observer_->OnBytes({buffer.data(), size});
+  } else if (is_lingering_) {
+    lingered_bytes_ += size;
+    if (lingered_bytes_ > kMaxLingerBytes) return Close();
+  }
   AwaitBytes();
 }
 
@@ -156,13 +163,6 @@
   SetPending(pending_bytes_ + size);
   queue_.push_back(std::move(piece));
   if (!awaiting_writable_) WriteSome();
-}
-
-void TcpConnection::WriteSome() {
-  while (!queue_.empty()) {
-    std::string_view rest = queue_.front().bytes().substr(front_offset_);
-    boost::system::error_code error;
-    size_t size = socket_.write_some(
   if (size > kUnwatchedBytes || !queue_.empty()) WatchPeer();
 }
 
@@ -214,6 +214,13 @@
   milliseconds time = uses ? kUnacknowledged : milliseconds(0);
   SetOption(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
             static_cast<int>(time.count()));
+}
+
+void TcpConnection::WriteSome() {
+  while (!queue_.empty()) {
+    std::string_view rest = queue_.front().bytes().substr(front_offset_);
+    boost::system::error_code error;
+    size_t size = socket_.write_some(
         boost::asio::buffer(rest.data(), rest.size()), error);
     if (error == boost::asio::error::would_block) return OnWritable();
     if (error) return Fail(error);
@@ -231,6 +238,7 @@
 // with it, so the other side is first given time to close.
 void TcpConnection::Linger() {
   boost::system::error_code ignored;  // a connection that broke is closed
+  is_lingering_ = true;
   socket_.shutdown(TcpConnection::Socket::shutdown_send, ignored);
   ResumeReading();
   auto timer = std::make_shared<boost::asio::steady_timer>(
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -113,6 +113,8 @@
   bool awaiting_bytes_ = false;
   bool paused_ = false;
   bool close_when_drained_ = false;
+  bool is_lingering_ = false;
+  size_t lingered_bytes_ = 0;
   bool allows_closed_window_ = false;
   // Null: the peer has not been watched yet.
   std::unique_ptr<PeerWatch> watch_;
