Planned stop: requests that its end cuts are counted once

Change: the largest number counts, and the stop ends as soon as nothing is open and every answer has left.

--- a/daemon/relay_server.cc
+++ b/daemon/relay_server.cc
@@ -125,18 +125,23 @@
   if (took > intake) relay_->StopIntake();
   auto left = options_.stop_bound - kEndMargin - took;
   if (left <= milliseconds(0)) EndRequests();
-  size_t open = std::max(callers_.open_requests(), relay_->open_requests());
-  bool is_quiet =
-      took > kNewConnectionsEnd && open == 0 && callers_.connections() == 0;
-  if (is_quiet || left <= -kLastAnswers) return EndStop();
+  bool is_quiet = took > kNewConnectionsEnd && OpenRequests() == 0 &&
+                  callers_.connections() == 0;
+  bool is_answered = left <= milliseconds(0) && OpenRequests() == 0 &&
+                     callers_.undelivered() == 0;
+  if (is_quiet || is_answered || left <= -kLastAnswers) return EndStop();
   stop_timer_.expires_after(kQuietInterval);
   stop_timer_.async_wait([this](auto error) {
     if (!error) CheckQuiet();
   });
 }
 
+size_t RelayServer::OpenRequests() const {
+  return std::max(callers_.open_requests(), relay_->open_requests());
+}
+
 void RelayServer::EndRequests() {
-  cut_ += std::max(callers_.open_requests(), relay_->open_requests());
+  cut_ = std::max(cut_, OpenRequests());
   relay_->EndRequests();
 }
 
--- a/daemon/relay_server.h
+++ b/daemon/relay_server.h
@@ -59,6 +59,8 @@
   void AnswerReady(ServerExchange* exchange);
   void AnswerMetrics(ServerExchange* exchange);
   void CheckQuiet();
+  // Requests without a whole answer.
+  size_t OpenRequests() const;
   // Answers what is still open shortly before the bound.
   void EndRequests();
   void EndStop();
