--- a/net/testing/odd_answers_test.cc
+++ b/net/testing/odd_answers_test.cc
@@ -16,6 +16,7 @@
 #include "leverwick/result.h"
 #include "net/endpoint_client.h"
 #include "net/platform_client.h"
+#include "net/testing/endless_answer.h"
 
 namespace leverwick {
 namespace {
@@ -23,8 +24,6 @@
 using boost::asio::ip::tcp;
 
 constexpr milliseconds kTimeout{5000};
-// Of what is written at once without end.
-constexpr size_t kPieces = 100UL * 1000;
 
 // Answers one request with `start`, and then writes `piece` until the client
 // closes; once if `piece` is empty.
@@ -154,30 +153,11 @@
   }
 }
 
-struct Endless {
-  std::string start;
-  std::string piece;
-};
-
 TEST_CASE("an engine that writes without end is given up") {
-  const std::string ok = "HTTP/1.1 200 OK\r\n";
-  const std::string filler(1000, 'x');
-  const std::vector<Endless> kinds = {
-      {"HTTP/1.1 200 OK\r\nX-Filler: ", filler},
-      {ok, "X-Filler: " + filler + "\r\n"},
-      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-      {ok + "\r\n", filler},
-      {ok + "Content-Length: 999999999999\r\n\r\n", filler},
-      {ok + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + filler + "\r\n"},
-      {ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
-       "X-Filler: " + filler + "\r\n"},
-  };
   // Of the head, and of what all calls may hold.
   constexpr size_t kMaxBytes = 64UL << 20;
-  for (const Endless& kind : kinds) {
-    std::string pieces;
-    while (pieces.size() < kPieces) pieces += kind.piece;
-    OneAnswer server(kind.start, pieces);
+  for (const EndlessAnswer& kind : EndlessAnswers()) {
+    OneAnswer server(kind.start, kind.Pieces());
     EndpointClient client;
     EndpointCall call;
     call.method = "GET";
