Engines' answers: extensions of chunks without end are broken off

What callers saw: on the product's own interface an engine that writes the extension of a chunk without end, or long extensions with every chunk, took a core until the call's timeout; nothing was kept.

Change: what the connection has received (TCP_INFO) is held against the body: 16 MB and 32 bytes for each of the body may come beside it.

--- a/net/endpoint_client.cc
+++ b/net/endpoint_client.cc
@@ -9,8 +9,10 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <optional>
 
 #include "net/http_codec.h"
+#include "net/tcp_send_state.h"
 
 namespace leverwick {
 namespace {
@@ -23,6 +25,10 @@
 // Of the bodies of all calls under way, so that an endpoint which writes
 // without end does not fill the memory of the box.
 constexpr size_t kMaxHeldBytes = 64UL << 20;
+// Of what comes beside the body, which the library drops unseen: extensions of
+// chunks. More than the kernel keeps of what has not been read.
+constexpr uint64_t kMaxFramingBytes = 16UL << 20;
+constexpr uint64_t kMaxFramingPerByte = 32;
 
 void InitLibrary() {
   static std::once_flag once;
@@ -43,6 +49,11 @@
   std::atomic<size_t>* held_bytes;  // of all calls
   size_t own_bytes = 0;             // held of this one
   size_t head_bytes = 0;
+  uint64_t body_bytes = 0;
+  // Of the connection, before this call.
+  std::optional<uint64_t> received_before = {};
+  // The kept connection's, until a new one is opened.
+  curl_socket_t socket = CURL_SOCKET_BAD;
   bool stopped = false;
   bool stalled = false;
 
@@ -52,6 +63,16 @@
     answer->body.append(data, size);
     return true;
   }
+
+  // Whether the connection has brought much more than the body.
+  bool IsFramingTooLong() {
+    if (socket == CURL_SOCKET_BAD) return false;
+    auto received = ReadTcpBytesReceived(socket);
+    if (!received) return false;
+    if (!received_before) received_before = received;
+    uint64_t most = kMaxFramingBytes + (1 + kMaxFramingPerByte) * body_bytes;
+    return *received - *received_before > most;
+  }
 };
 
 int StatusOf(CURL* handle) {
@@ -63,6 +84,7 @@
 size_t OnData(char* data, size_t, size_t size, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   transfer->last_data = Clock::now();
+  transfer->body_bytes += size;
   bool good = StatusOf(transfer->handle) < 300;
   if (!transfer->call->on_data || !good) {
     return transfer->Hold(data, size) ? size : 0;
@@ -102,8 +124,16 @@
   return size;
 }
 
+int OnSocket(void* user, curl_socket_t socket, curlsocktype) {
+  auto* transfer = static_cast<Transfer*>(user);
+  transfer->socket = socket;
+  transfer->received_before.reset();
+  return CURL_SOCKOPT_OK;
+}
+
 int OnProgress(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
   auto* transfer = static_cast<Transfer*>(user);
+  if (transfer->IsFramingTooLong()) return 1;
   nanoseconds stall = transfer->call->stall;
   if (stall.count() == 0) return 0;
   transfer->stalled = Clock::now() - transfer->last_data > stall;
@@ -139,6 +169,8 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, transfer);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, transfer);
   curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &OnProgress);
   curl_easy_setopt(handle, CURLOPT_XFERINFODATA, transfer);
@@ -203,6 +235,7 @@
   CURL* handle = pool_->Take(call.address);
   if (handle == nullptr) return answer;
   Transfer transfer{&call, &answer, handle, Clock::now(), &pool_->held_bytes};
+  curl_easy_getinfo(handle, CURLINFO_ACTIVESOCKET, &transfer.socket);
   curl_slist* headers = MakeHeaders(call);
   SetOptions(handle, call, &transfer, headers);
   CURLcode code = curl_easy_perform(handle);
--- a/net/tcp_send_state.h
+++ b/net/tcp_send_state.h
@@ -21,6 +21,10 @@
 // Nothing where the kernel doesn't tell.
 std::optional<TcpSendState> ReadTcpSendState(int socket);
 
+// Bytes that have come over the connection, those that wait to be read among
+// them. Nothing where the kernel doesn't tell.
+std::optional<uint64_t> ReadTcpBytesReceived(int socket);
+
 }  // namespace leverwick
 
 #endif  // NET_TCP_SEND_STATE_H_
